--- /dev/null
+++ b/wheatroute/__init__.py
@@ -0,0 +1,1 @@
+"""wheatroute: a load balancer for services that call services."""
--- /dev/null
+++ b/wheatroute/benchlink/host.py
@@ -0,0 +1,142 @@
+"""Reads batches, hands each instance its events, writes one reply a batch."""
+
+import sys
+from typing import Any, BinaryIO
+
+import orjson
+
+from wheatroute.benchlink.instance import Instance
+
+
+class MalformedError(Exception):
+    """A line that does not have the shape of the wire."""
+
+
+class Host:
+    """The instances of this process; they share nothing but the numbered lists of the wire."""
+
+    def __init__(self) -> None:
+        self._instances: dict[str, Instance] = {}
+        self._lists: dict[int, list[dict[str, Any]]] = {}
+
+    def answer(self, batch: dict[str, Any]) -> dict[str, Any]:
+        now, replies = batch["now"], []
+        for part in batch["nodes"]:
+            name, events = part["node"], part["events"]
+            try:
+                decisions = self._play(name, now, events)
+            except (KeyError, TypeError, AttributeError) as trouble:
+                if _well_formed(events):
+                    decisions = [_fault(trouble)]
+                else:
+                    raise MalformedError(f"event without its fields: {trouble}") from trouble
+            except Exception as trouble:  # told to the operators, never lost
+                decisions = [_fault(trouble)]
+            if decisions:
+                replies.append({"node": name, "decisions": decisions})
+        return {"nodes": replies}
+
+    def _play(self, name: str, now: float, events: list[dict[str, Any]]) -> list[dict[str, Any]]:
+        decisions: list[dict[str, Any]] = []
+        instance = self._instances.get(name)
+        for message in events:
+            word = message["m"]
+            if word == "new-instance":
+                instance = Instance(message["rng-seed"], message["boot-info"])
+                self._instances[name] = instance
+                decisions = []
+            elif word == "exit":
+                # what it held is void, also what came earlier in this batch
+                self._instances.pop(name, None)
+                instance = None
+            elif word == "register":
+                self._lists[message["roster-id"]] = message["hosts"]
+            elif instance is None:
+                continue
+            elif word == "targets":
+                form = message["form"]
+                hosts = [] if form == "broken" else self._lists[message["roster-id"]]
+                instance.targets(form, hosts)
+            elif word in _HANDLERS:
+                _HANDLERS[word](instance, message)
+        if instance is not None:
+            decisions = instance.round(now)
+        return decisions
+
+
+_HANDLERS = {
+    "ask": Instance.ask,
+    "returned": Instance.returned,
+    "established": Instance.established,
+    "left": Instance.left,
+    "echo": Instance.echo,
+    "wakeup": Instance.wakeup,
+    "whisper": Instance.whisper,
+}
+_NEEDED = {
+    "new-instance": ("rng-seed", "boot-info"),
+    "register": ("roster-id", "hosts"),
+    "targets": ("form",),
+    "ask": ("call", "band"),
+    "returned": ("call", "server", "result"),
+    "established": ("call", "server"),
+    "left": ("call",),
+    "echo": ("server", "result"),
+}
+
+
+def _well_formed(events: Any) -> bool:
+    return isinstance(events, list) and all(
+        isinstance(one, dict) and "m" in one and all(name in one for name in _NEEDED.get(one["m"], ()))
+        for one in events)
+
+
+def _fault(trouble: Exception) -> dict[str, str]:
+    step = trouble.__traceback__
+    while step is not None and step.tb_next is not None:
+        step = step.tb_next
+    place = f" at line {step.tb_lineno} of {step.tb_frame.f_code.co_name}" if step else ""
+    return {"m": "fault", "msg": f"{type(trouble).__name__}: {trouble}{place}"}
+
+
+def _batch(line: bytes) -> dict[str, Any]:
+    """One line as a batch.
+
+    >>> _batch(b'{"now":1.5,"nodes":[]}')["now"]
+    1.5
+    >>> _batch(b'{"nodes":[]}')
+    Traceback (most recent call last):
+    ...
+    wheatroute.benchlink.host.MalformedError: no clock in "now"
+    """
+    try:
+        batch = orjson.loads(line)
+    except orjson.JSONDecodeError as trouble:
+        raise MalformedError(f"not JSON: {trouble}") from trouble
+    if not isinstance(batch, dict):
+        raise MalformedError("not an object")
+    if isinstance(batch.get("now"), bool) or not isinstance(batch.get("now"), int | float):
+        raise MalformedError('no clock in "now"')
+    if not isinstance(batch.get("nodes"), list):
+        raise MalformedError('no list in "nodes"')
+    for part in batch["nodes"]:
+        if not (isinstance(part, dict) and isinstance(part.get("node"), str)
+                and isinstance(part.get("events"), list)):
+            raise MalformedError('an entry of "nodes" lacks "node" or "events"')
+    return batch
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> int:
+    """Answers batches until the input ends; returns the exit status."""
+    host = Host()
+    for count, line in enumerate(source, 1):
+        if not line.strip():
+            continue
+        try:
+            reply = orjson.dumps(host.answer(_batch(line)))
+        except MalformedError as trouble:
+            print(f"line {count}: {trouble}", file=sys.stderr)
+            return 2
+        sink.write(reply + b"\n")
+        sink.flush()
+    return 0
--- /dev/null
+++ b/wheatroute/benchlink/instance.py
@@ -0,0 +1,169 @@
+"""One instance of the decisions on the wire: ids to small numbers on the way in, back on the way out."""
+
+import random
+from collections import defaultdict
+from typing import Any
+
+from wheatroute.benchlink import words
+from wheatroute.decide import Balancer
+from wheatroute.interface import Event, Outcome, State
+
+
+class _Numbers(dict[str, int]):
+    """Gives each name it has not met the next number."""
+
+    def __missing__(self, name: str) -> int:
+        self[name] = number = len(self)
+        return number
+
+
+class Instance:
+    """Holds the numbering of one instance and is the writer of its decisions."""
+
+    def __init__(self, seed: int, info: dict[str, Any]) -> None:
+        self._servers = _Numbers()
+        self._addresses: list[str] = []
+        self._zones = _Numbers({name: i for i, name in enumerate(info.get("dcs") or [])})
+        self._models = _Numbers({name: i for i, name in enumerate(info.get("skus") or [])})
+        self._types = {kind["name"]: i for i, kind in enumerate(info.get("traffic-types") or [])}
+        self._customers = {one["name"]: i for i, one in enumerate(info.get("tenants") or [])}
+        self._numbers: dict[int | None, int] = {}
+        self._calls: dict[int, int] = {}
+        self._out: defaultdict[int, int] = defaultdict(int)
+        self._over: set[int] = set()
+        self._taken = 0
+        self._spent: list[int] = []
+        self.events: list[tuple[Any, ...]] = []
+        self.decisions: list[dict[str, Any]] = []
+        self._balancer = Balancer(words.terms(info, self._zones), random.Random(seed))
+
+    def round(self, now: float) -> list[dict[str, Any]]:
+        events, self.events, self.decisions = self.events, [], []
+        self._balancer.round(now, events, self)
+        self._drop_spent()
+        return self.decisions
+
+    # what comes in
+
+    def ask(self, message: dict[str, Any]) -> None:
+        call = message["call"]
+        self._numbers[call] = number = self._taken
+        self._calls[number] = call
+        self._taken += 1
+        kind = self._types[message["band"]]
+        customer = self._customers.get(message.get("client-group"), -1)
+        repeated = bool(message.get("attrs", 0) & words.REPEATED)
+        self.events.append((Event.ARRIVED, number, kind, message.get("left", 0.0), customer, repeated))
+
+    def returned(self, message: dict[str, Any]) -> None:
+        number = self._numbers.get(message["call"])
+        if number is None:
+            return
+        finished = message.get("done-flag", False)
+        self._out[number] -= 1
+        if finished:
+            self._over.add(number)
+        outcome = words.OUTCOMES.get(message["result"], Outcome.UNKNOWN)
+        self.events.append((Event.RETURNED, number, message.get("n", 0), self._server(message["server"]),
+                            outcome, message.get("took", 0.0), finished, _report(message)))
+        self._forget(number)
+
+    def established(self, message: dict[str, Any]) -> None:
+        number = self._numbers.get(message["call"])
+        if number is not None:
+            self.events.append((Event.STARTED, number, message.get("n", 0), self._server(message["server"])))
+
+    def left(self, message: dict[str, Any]) -> None:
+        number = self._numbers.get(message["call"])
+        if number is not None:
+            self._over.add(number)
+            self._forget(number)
+            self.events.append((Event.LEFT, number))
+
+    def targets(self, form: str, hosts: list[dict[str, Any]]) -> None:
+        if form == "broken":
+            self.events.append((Event.LIST_FAILED,))
+            return
+        entries = [(self._server(one["server"]), self._zones[one.get("dc", "")],
+                    self._models[one.get("model", "")], one.get("stripe", 0),
+                    words.STATES.get(one.get("status", "live"), State.DRAINING),
+                    one.get("scale", 1.0), one.get("started-at", 0.0)) for one in hosts]
+        self.events.append((Event.LISTED, entries, form != "patch"))
+
+    def echo(self, message: dict[str, Any]) -> None:
+        outcome = words.OUTCOMES.get(message["result"], Outcome.UNKNOWN)
+        self.events.append((Event.SOUNDED, self._server(message["server"]), outcome,
+                            message.get("took", 0.0), _report(message)))
+
+    def wakeup(self, _message: dict[str, Any]) -> None:
+        self.events.append((Event.WOKEN,))
+
+    def whisper(self, message: dict[str, Any]) -> None:
+        """Nodes do not talk to each other here; what comes is dropped."""
+
+    # what goes out
+
+    def relay(self, command: int, server: int, time_out: float) -> None:
+        self._out[command] += 1
+        self.decisions.append({"m": "relay", "call": self._calls[command],
+                               "server": self._addresses[server], "cap": time_out})
+
+    def withdraw(self, command: int, n: int) -> None:
+        self.decisions.append({"m": "withdraw", "call": self._calls[command], "n": n})
+
+    def bounce(self, command: int, stay_away: float) -> None:
+        self.decisions.append({"m": "shed", "call": self._calls[command], "stay-away": stay_away})
+        self._end(command)
+
+    def terminate(self, command: int) -> None:
+        self.decisions.append({"m": "finish-error", "call": self._calls[command]})
+        self._end(command)
+
+    def wake(self, moment: float) -> None:
+        self.decisions.append({"m": "wake-me", "moment": moment, "key-back": 0})
+
+    def sound(self, server: int) -> None:
+        self.decisions.append({"m": "sound-out", "server": self._addresses[server]})
+
+    def watch(self, enable: bool) -> None:
+        self.decisions.append({"m": "watch", "enable": enable})
+
+    def fetch(self) -> None:
+        self.decisions.append({"m": "fetch"})
+
+    def close(self, server: int) -> None:
+        self.decisions.append({"m": "close", "server": self._addresses[server]})
+
+    def log(self, text: str) -> None:
+        self.decisions.append({"m": "log", "msg": text})
+
+    def _server(self, address: str) -> int:
+        number = self._servers[address]
+        if number == len(self._addresses):
+            self._addresses.append(address)
+        return number
+
+    def _end(self, number: int) -> None:
+        self._over.add(number)
+        self._forget(number)
+
+    def _forget(self, number: int) -> None:
+        """Lets go of a command that is over with no relay out, once the round's decisions are written.
+
+        Until then a decision may still name it: a withdrawal crosses with the outcome.
+        """
+        if number in self._over and self._out[number] <= 0:
+            self._spent.append(number)
+
+    def _drop_spent(self) -> None:
+        for number in self._spent:
+            call = self._calls.pop(number, None)
+            self._numbers.pop(call, None)
+            self._over.discard(number)
+            self._out.pop(number, None)
+        self._spent.clear()
+
+
+def _report(message: dict[str, Any]) -> dict[str, float] | None:
+    stats = message.get("server-stats")
+    return {words.FIGURES.get(name, name): figure for name, figure in stats.items()} if stats else None
--- /dev/null
+++ b/wheatroute/benchlink/words.py
@@ -0,0 +1,94 @@
+"""The bench's words and ours."""
+
+from typing import Any
+
+from wheatroute.interface import Effect, Group, Outcome, State
+
+OUTCOMES = {
+    "done": Outcome.HANDLED,
+    "err": Outcome.ERROR,
+    "busy": Outcome.FULL,
+    "etimedout": Outcome.TIMED_OUT,
+    "econnrefused": Outcome.UNCONNECTED,
+    "econnreset": Outcome.RESET,
+    "ecanceled": Outcome.WITHDRAWN,
+    "skipped": Outcome.MOOT,
+}
+STATES = {"live": State.LIVE, "quiescing": State.DRAINING, "dead": State.GONE}
+EFFECTS = {"retryable": Effect.PURE, "dedup": Effect.RECEIPTED, "fragile": Effect.EFFECTFUL}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+FIGURES = {"active": "held", "waiting": "queued", "cpu": "busy", "avg_ms": "service_ms",
+           "rps": "rate", "err_rps": "error_rate"}
+REPEATED = 2
+
+# our name: (path on the wire, what stands in where it is absent)
+TERMS: dict[str, tuple[str, Any]] = {
+    "nodes": ("balancers", 1),
+    "node": ("me", 0),
+    "tick": ("tick", 0.005),
+    "tier": ("tier", 0),
+    "second_copies": ("allowed.second-copies", False),
+    "withdrawals": ("allowed.cancel", False),
+    "probes": ("allowed.probes", False),
+    "bounce_advice": ("allowed.retry-after", False),
+    "longest_advice": ("allowed.max-retry-after", 0.0),
+    "most_relays": ("allowed.most-relays", 1),
+    "connect_within": ("allowed.connect-timeout", 0.0),
+    "calls_per_connection": ("allowed.streams-per-conn", 1),
+    "most_open": ("allowed.max-open", 0),
+    "excess_utility": ("excess-utility", 1.0),
+    "time_left_passed_on": ("family-info.passes-deadline", None),
+    "crossing_price": ("tariffs.cross-zone", 0.0),
+    "waste_price": ("tariffs.waste", 0.0),
+    "late_price": ("tariffs.late-fail", 0.0),
+    "report_how": ("report.how", "none"),
+    "answer_slack": ("rules.answer-slack", 0.0),
+    "ask_within": ("rules.ask-within", 0.0),
+    "cold_time": ("rules.cold", 0.0),
+    "cold_share": ("rules.cold-share", 1.0),
+    "drain_grace": ("rules.drain-grace", 0.0),
+    "fall_span": ("rules.fall", 0.0),
+    "fall_multiple": ("rules.fall-multiple", 1.0),
+}
+
+
+def _dig(info: dict[str, Any], path: str, default: Any) -> Any:
+    here: Any = info
+    for name in path.split("."):
+        here = here.get(name) if isinstance(here, dict) else None
+    return default if here is None else here
+
+
+def _traffic_type(info: dict[str, Any]) -> dict[str, Any]:
+    hard_stop = info.get("hard-stop", 0.0)
+    return {
+        "target_time": info.get("target-time", hard_stop),
+        "stretch": info.get("aim-stretch", 0.0),
+        "hard_stop": hard_stop,
+        "utility": info.get("utility", 1.0),
+        "late_utility": info.get("overdue-utility", 0.0),
+        # a word not known here is taken for the strictest
+        "effect": EFFECTS.get(info.get("effect", ""), Effect.EFFECTFUL),
+        "group": GROUPS.get(info.get("group", "all"), Group.CELL),
+        "repeat_window": info.get("repeat-window", 0.0),
+        "streamed": info.get("streamed", False),
+    }
+
+
+def terms(info: dict[str, Any], zones: dict[str, int]) -> dict[str, Any]:
+    """The settings under our names, names of places, types and customers turned to numbers.
+
+    >>> got = terms({"balancers": 3, "zone": "b", "novel": 1}, {"b": 1})
+    >>> got["nodes"], got["zone"], got["most_relays"], got["traffic_types"]
+    (3, 1, 1, [])
+    """
+    out = {name: _dig(info, path, default) for name, (path, default) in TERMS.items()}
+    out["zone"] = zones.get(info.get("zone", ""), 0)
+    out["tiers"] = len(info.get("tiers") or [None])
+    out["list_on_request"] = info.get("membership-mode") == "on_request"
+    out["reported"] = [FIGURES.get(name, name) for name in _dig(info, "report.fields", [])]
+    out["work_counts"] = info.get("utility-basis") == "work"
+    out["traffic_types"] = [_traffic_type(kind) for kind in info.get("traffic-types") or []]
+    out["customers"] = [{"portion": one.get("portion", 0.0), "quota": one.get("quota-rps", 0.0)}
+                        for one in info.get("tenants") or []]
+    return out
--- /dev/null
+++ b/wheatroute/decide.py
@@ -0,0 +1,762 @@
+"""All decisions of wheatroute: which server gets a command, when a copy goes out, when to say no.
+
+How to call it: make one `Balancer(terms, chance)` for each node, then call `round(now, events, writer)`
+once a round with all that came in; the decisions are written straight into `writer` during that call.
+The shape of the events, of the terms' values and of the writer is in `wheatroute/interface.py`. There is
+no clock here but `now`, no chance but the `random.Random` passed in, and nothing is shared.
+
+Reading order: the constants, `Command` (the account that keeps the first two rules), `Servers` (what this
+node knows of each server), `Pace` (latencies, the copy timer, the window), `Balancer`.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect, insort
+from collections import deque
+from heapq import heappop, heappush
+from math import inf
+from random import Random
+
+from wheatroute.interface import Effect, Entry, Event, Group, Outcome, Report, Round, State, Terms, Writer
+
+# The design's own figures.
+WINDOW = 10.0  # seconds of own latencies behind the copy timer
+RESOLVE = 1.0  # the split and the timer are solved anew this often, seconds
+BEAT = 0.25  # health, window and waiting room are looked at this often, in shares of RESOLVE
+MARGIN = 0.1  # the copy timer stands this share above the p95
+SAMPLES = 20  # no copy before this many latencies
+CLAMP_LOW, CLAMP_HIGH = 0.5, 2.0  # of the even share
+FAR_MORE = 1.5  # a draw on a server with this multiple of the mean in flight (and half a call) is redrawn
+REDRAWS = 4
+COPY_SHARE = 0.1  # of the relays sent may be copies: twice the share that a p95 lets through
+REPEAT_SHARE = 0.1  # of the commands taken may be relayed again after a relay that may have run
+
+# Left open by the design.
+SMOOTHING = 0.2  # weight of the newest latency of a server
+CROWDED = 2.5  # a tier whose median latency is this multiple of its best is as full as it should get
+ALL_SLOW = 1.5  # no copies while the last second's median is this multiple of the window's
+SILENT = 3.0  # a server with a relay out for this multiple of the p95, nothing heard since, hangs
+OUTLIER = 4.0  # a server this multiple slower than the median server is left to trial relays
+FAILING = 0.3  # share of a server's answers that are errors
+RECALL = 0.97  # what is left of a remembered best after a beat without a better one
+
+
+class Command:
+    """One command: its times, and the account of its relays that rules one and two are kept by."""
+
+    __slots__ = ("number", "kind", "taken", "target", "give_up", "value", "servers", "sent", "out", "may",
+                 "group", "since", "over", "copied", "queued")
+
+    def __init__(self, number: int, kind: int, taken: float, target: float, give_up: float,
+                 value: float) -> None:
+        self.number, self.kind, self.taken, self.target = number, kind, taken, target
+        self.give_up, self.value = give_up, value
+        self.servers: list[int] = []  # by relay
+        self.sent: list[float] = []  # by relay
+        self.out: set[int] = set()  # relays without an outcome; only sorted() or min() of it is used
+        self.may = 0  # relays that came back and may have run
+        self.group = -1  # the first relay that may have run decides where repeats may go
+        self.since = inf  # and from when its repeat window counts
+        self.over = self.copied = self.queued = False
+
+
+class Servers:
+    """What this node knows of each server, in parallel arrays under the server's number."""
+
+    def __init__(self) -> None:
+        self.ready: list[bool] = []
+        self.zone: list[int] = []
+        self.model: list[int] = []
+        self.cell: list[int] = []
+        self.born: list[float] = []
+        self.latency: list[float] = []  # smoothed, in multiples of the traffic type's mean; 0: not heard
+        self.held: list[int] = []  # this node's relays out
+        self.errors: list[float] = []  # smoothed share of errors
+        self.heard: list[float] = []  # last answer that shows it works
+        self.barred: list[float] = []  # no ordinary relays before a trial after this moment succeeds
+        self.penalty: list[float] = []  # how long the next bar lasts
+        self.trial: list[bool] = []  # a trial relay is out
+        self.refused: list[float] = []  # last failed connection or reset
+        self.credit: list[float] = []  # relays a cold server may get now
+        self.carried: list[float] = []  # relays sent a second, smoothed
+        self.recent: list[int] = []  # relays sent since the last beat
+        self.out: list[dict[tuple[int, int], float]] = []  # relays out and when they were sent, oldest first
+
+    def extend(self, count: int) -> None:
+        """Makes room for numbers below count."""
+        for _ in range(count - len(self.ready)):
+            self.ready.append(False)
+            for numbers in (self.zone, self.model, self.cell, self.held, self.recent):
+                numbers.append(0)
+            for figures in (self.born, self.latency, self.errors, self.barred, self.penalty, self.credit,
+                            self.carried):
+                figures.append(0.0)
+            self.heard.append(-inf)
+            self.refused.append(-inf)
+            self.trial.append(False)
+            self.out.append({})
+
+    def forget(self, server: int, born: float) -> None:
+        """A process that started anew has nothing in common with the one before."""
+        self.born[server] = born
+        self.latency[server] = self.errors[server] = self.barred[server] = self.penalty[server] = 0.0
+        self.trial[server] = False
+
+
+class Pace:
+    """This node's latencies to the tier over the window, and what follows from them."""
+
+    def __init__(self, kinds: int) -> None:
+        self.samples: deque[tuple[float, float, float]] = deque()  # when, latency, in multiples of its type
+        self.mean = [0.0] * kinds  # smoothed latency of each traffic type
+        self.p95 = 0.0
+        self.median = 0.0  # of the window, in multiples of the type's mean
+        self.latest = 0.0  # the same of the last second
+        self.best = 0.0  # lowest median seen, slowly let go
+        self.timer = inf
+
+    def add(self, now: float, kind: int, took: float, handled: bool) -> float:
+        """Takes one latency in; returns it in multiples of its traffic type's mean."""
+        mean = self.mean[kind]
+        if handled:
+            # slow to move, so that it speaks of the type and not of the moment
+            self.mean[kind] = mean = mean + (took - mean) * 0.02 if mean else took
+        share = took / mean if mean else 1.0
+        self.samples.append((now, took, share))
+        return share
+
+    def beat(self, now: float) -> None:
+        late = [share for when, _, share in self._since(now - RESOLVE)]
+        if len(late) >= SAMPLES // 4:
+            late.sort()
+            self.latest = late[len(late) // 2]
+            if not self.best or self.latest < self.best:
+                self.best = self.latest
+            else:
+                self.best += (self.latest - self.best) * (1.0 - RECALL) * BEAT
+        else:
+            self.latest = 0.0
+
+    def resolve(self, now: float) -> None:
+        while self.samples and self.samples[0][0] < now - WINDOW:
+            self.samples.popleft()
+        count = len(self.samples)
+        if not count:
+            self.timer = inf
+            return
+        raw = sorted(took for _, took, _ in self.samples)
+        shares = sorted(share for _, _, share in self.samples)
+        self.p95, self.median = raw[min(count - 1, int(count * 0.95))], shares[count // 2]
+        self.timer = self.p95 * (1.0 + MARGIN) if count >= SAMPLES else inf
+
+    def _since(self, moment: float) -> list[tuple[float, float, float]]:
+        out = []
+        for sample in reversed(self.samples):
+            if sample[0] < moment:
+                break
+            out.append(sample)
+        return out
+
+    @property
+    def crowding(self) -> float:
+        """The last second's median over the best seen: 1 when idle, unknown counts as idle."""
+        return self.latest / self.best if self.latest and self.best else 1.0
+
+    @property
+    def all_slow(self) -> bool:
+        """Guards against copies when the whole tier slows: the lagging p95 would then send them all."""
+        return self.latest > ALL_SLOW * self.median > 0.0
+
+
+class Ring:
+    """Servers at one distance: this node's building, then all others. Holds their split and window."""
+
+    def __init__(self) -> None:
+        self.servers: list[int] = []
+        self.bounds: list[float] = []  # running sum of the split
+        self.share: dict[int, float] = {}
+        self.out = 0
+        self.limit = inf  # relays this node may have out here
+
+    def adapt(self, crowding: float, floor: float) -> None:
+        """Keeps what is out where the tier's median latency stays under CROWDED times its best.
+
+        Guards against servers that turn slow for long once too much waits in them: what they cannot
+        take waits here, where it can still be sorted, or be turned away unharmed.
+        """
+        if crowding > CROWDED:
+            self.limit = max(floor, min(self.limit, self.out) * max(0.7, CROWDED / crowding))
+        elif self.out > 0.7 * self.limit:
+            self.limit += max(1.0, 0.1 * self.limit)
+
+
+class Balancer:
+    """The decisions of one node."""
+
+    def __init__(self, terms: Terms, chance: Random) -> None:
+        self._terms, self._chance = terms, chance
+        self._kinds = terms["traffic_types"]
+        self._tick = terms["tick"]
+        self._entry = terms["tier"] == 0
+        self._servers = Servers()
+        self._pace = Pace(len(self._kinds))
+        self._rings = [Ring(), Ring()]
+        self._commands: dict[int, Command] = {}
+        self._waiting: list[tuple[float, float, int, Command]] = []  # most valuable first
+        self._due: list[tuple[float, int, Command]] = []  # copy timers (number of relays > 0) and ends
+        self._armed = inf
+        self._next_beat = self._next_resolve = -inf
+        self._copy_credit = self._repeat_credit = 1.0
+        self._longest_left = [0.0] * len(self._kinds)
+        self._allowance = [one["quota"] / terms["nodes"] for one in terms["customers"]]
+        self._handled = 0
+        self._rate = 0.0  # commands handled a second
+        self._ask_at = -inf if terms["list_on_request"] else inf
+        self._ask_wait = 0.0
+        self._now = self._by = 0.0
+        pure = [kind["utility"] for kind in self._kinds if kind["effect"] == Effect.PURE]
+        self._copied_utility = max(pure, default=inf)
+
+    def round(self, now: float, events: Round, writer: Writer) -> None:
+        """Takes in all that came since the last round and writes what is to be done."""
+        self._now, self._writer = now, writer
+        self._by = now + self._tick / 2  # a host may round moments: what is due within half a tick is due
+        if self._armed <= self._by:
+            self._armed = inf
+        for event, *fields in events:
+            if event == Event.RETURNED:
+                self._returned(*fields)
+            elif event == Event.ARRIVED:
+                self._arrived(*fields)
+            elif event == Event.LISTED:
+                self._listed(*fields)
+            elif event == Event.LEFT:
+                self._left(*fields)
+            elif event == Event.STARTED:
+                self._started(*fields)
+            elif event == Event.LIST_FAILED:
+                self._list_failed()
+        if self._by >= self._ask_at:
+            self._ask_at = inf
+            writer.watch(True)
+        if self._by >= self._next_beat:
+            self._beat()
+        self._run_due()
+        self._drain_waiting()
+        self._arm()
+
+    # the list of servers
+
+    def _listed(self, entries: list[Entry], whole: bool) -> None:
+        servers = self._servers
+        self._ask_wait = 0.0
+        if whole:
+            servers.ready = [False] * len(servers.ready)
+        for server, zone, model, cell, state, _, started in entries:
+            servers.extend(server + 1)
+            servers.zone[server], servers.model[server], servers.cell[server] = zone, model, cell
+            # rule three: nothing new from the moment this node is told, well inside the grace
+            servers.ready[server] = state == State.LIVE
+            if started > servers.born[server]:
+                servers.forget(server, started)
+                # other nodes hear of it too: a random first credit keeps them from all sending at once
+                servers.credit[server] = self._chance.random()
+        self._solve()
+
+    def _list_failed(self) -> None:
+        """Guards against a list service that fails under load: asked again later and later, never in step."""
+        terms = self._terms
+        if terms["list_on_request"]:
+            longest = terms["ask_within"] / 4  # a node is deemed told of what is older than ask_within
+            self._ask_wait = min(longest, max(longest / 8, 2 * self._ask_wait))
+            self._ask_at = self._now + self._ask_wait * (0.5 + 0.5 * self._chance.random())
+
+    # the split
+
+    def _solve(self) -> None:
+        """Fractions inverse to smoothed latency, clamped around the even share, for each ring."""
+        servers, here = self._servers, self._terms["zone"]
+        priced = self._terms["crossing_price"] > 0
+        rings: tuple[list[int], list[int]] = ([], [])
+        for server, ready in enumerate(servers.ready):
+            if ready and not servers.barred[server]:
+                rings[priced and servers.zone[server] != here].append(server)
+        for ring, members in zip(self._rings, rings, strict=True):
+            ring.servers = members
+            ring.out = sum(servers.held[server] for server in members)
+            self._solve_ring(ring)
+
+    def _solve_ring(self, ring: Ring) -> None:
+        servers = self._servers
+        heard = [servers.latency[s] for s in ring.servers if servers.latency[s]]
+        mean = sum(heard) / len(heard) if heard else 1.0
+        wish = [1.0 / (servers.latency[s] or mean) for s in ring.servers]
+        even = 1.0 / max(1, len(wish))
+        for _ in range(3):
+            total = sum(wish)
+            wish = [min(CLAMP_HIGH * even, max(CLAMP_LOW * even, one / total)) for one in wish]
+        ring.bounds, ring.share, total = [], {}, 0.0
+        for server, one in zip(ring.servers, wish, strict=True):
+            one *= self._warmth(server)
+            total += one
+            ring.bounds.append(total)
+            ring.share[server] = one
+
+    def _warmth(self, server: int) -> float:
+        """The least share of its capacity that a server can have by now."""
+        terms, age = self._terms, self._now - self._servers.born[server]
+        if not self._servers.born[server] or age >= terms["cold_time"]:
+            return 1.0
+        return terms["cold_share"] + (1.0 - terms["cold_share"]) * max(0.0, age) / terms["cold_time"]
+
+    def _draw(self, ring: Ring, command: Command) -> int:
+        """A server by the split, redrawn where it holds far more than the mean; -1 if none will do."""
+        servers, bounds = self._servers, ring.bounds
+        if not bounds:
+            return -1
+        far = FAR_MORE * ring.out / len(bounds) + 0.5
+        best, least = -1, inf
+        for _ in range(REDRAWS):
+            server = ring.servers[min(len(bounds) - 1, bisect(bounds, self._chance.random() * bounds[-1]))]
+            if not self._may_go(command, server):
+                continue
+            if servers.held[server] < far:
+                return server
+            load = (servers.held[server] + 1) / ring.share[server]
+            if load < least:
+                best, least = server, load
+        if best < 0:
+            fit = [s for s in ring.servers if self._may_go(command, s)]
+            best = min(fit, key=lambda s: (servers.held[s] + 1) / ring.share[s], default=-1)
+        return best
+
+    def _may_go(self, command: Command, server: int) -> bool:
+        """Rule two's group and window, rule four's credit, and no server twice for a command."""
+        if server in command.servers:
+            return False
+        if self._warmth(server) < 1.0 and self._servers.credit[server] < 1.0:
+            return False
+        if self._kinds[command.kind]["effect"] == Effect.RECEIPTED and (command.may or command.out):
+            return self._group(command.kind, server) == command.group
+        return True
+
+    def _group(self, kind: int, server: int) -> int:
+        group = self._kinds[kind]["group"]
+        if group == Group.ALL:
+            return 0
+        return self._servers.zone[server] if group == Group.ZONE else self._servers.cell[server]
+
+    def _may_repeat(self, command: Command) -> bool:
+        """Rule two: whether any further relay may go out at all."""
+        if command.over or len(command.servers) >= self._terms["most_relays"]:
+            return False
+        if command.out and not self._terms["second_copies"]:
+            return False
+        if not command.may and not command.out:
+            return True
+        kind = self._kinds[command.kind]
+        if kind["effect"] == Effect.RECEIPTED:
+            return self._now < command.since + kind["repeat_window"] - self._tick
+        return kind["effect"] == Effect.PURE
+
+    def _may_bounce(self, command: Command) -> bool:
+        kind = self._kinds[command.kind]
+        if kind["effect"] == Effect.PURE or not (command.may or command.out):
+            return True
+        return kind["effect"] == Effect.RECEIPTED and kind["group"] == Group.ALL
+
+    # commands
+
+    def _arrived(self, number: int, kind: int, left: float, customer: int, repeated: bool) -> None:
+        terms = self._kinds[kind]
+        full = self._longest_left[kind] = max(self._longest_left[kind], left)
+        elapsed = full - left  # a call that comes with less time than others has used some of it
+        if repeated and left < full:
+            elapsed = max(elapsed, terms["hard_stop"] - left)
+        stop = self._now + left - 2 * self._tick
+        target = min(stop, self._now + terms["target_time"] - elapsed)
+        value = terms["utility"]
+        if not self._terms["work_counts"]:
+            value /= self._pace.mean[kind] or 1.0
+        if self._entry and customer >= 0:
+            value *= self._spend(customer)
+        if target <= self._now:
+            value *= terms["late_utility"]
+        give_up = stop if terms["late_utility"] or not self._entry else max(target, self._now)
+        command = Command(number, kind, self._now, target, give_up, value)
+        self._commands[number] = command
+        self._repeat_credit = min(self._repeat_credit + REPEAT_SHARE, 1.0 + REPEAT_SHARE * SAMPLES * 2)
+        if give_up <= self._now:
+            self._finish(command)
+            return
+        heappush(self._due, (give_up, -number - 1, command))
+        if not self._send(command):
+            self._hold(command)
+
+    def _spend(self, customer: int) -> float:
+        """What a command of this customer is worth: less beyond the customer's share."""
+        if self._allowance[customer] >= 1.0:
+            self._allowance[customer] -= 1.0
+            return 1.0
+        return self._terms["excess_utility"]
+
+    def _send(self, command: Command) -> bool:
+        """One relay by the split, if some ring has room."""
+        server = self._trial_for(command)
+        if server < 0:
+            for ring in self._rings:
+                if ring.out < ring.limit:
+                    server = self._draw(ring, command)
+                    if server >= 0:
+                        break
+        if server < 0 and not any(ring.servers for ring in self._rings):
+            server = self._last_resort(command)
+        if server < 0:
+            return False
+        self._relay(command, server)
+        return True
+
+    def _last_resort(self, command: Command) -> int:
+        """Guards against barring everything: with no server left, the least laden barred one is tried."""
+        servers = self._servers
+        fit = [s for s, ready in enumerate(servers.ready) if ready and self._may_go(command, s)]
+        return min(fit, key=lambda s: (servers.held[s], servers.barred[s]), default=-1)
+
+    def _relay(self, command: Command, server: int) -> None:
+        servers, n = self._servers, len(command.servers)
+        if not command.may and not command.out:
+            command.group, command.since = self._group(command.kind, server), self._now
+        command.servers.append(server)
+        command.sent.append(self._now)
+        command.out.add(n)
+        servers.out[server][command.number, n] = self._now
+        servers.held[server] += 1
+        servers.recent[server] += 1
+        servers.credit[server] -= 1.0
+        self._ring_of(server).out += 1
+        self._writer.relay(command.number, server, command.give_up - self._now)
+        self._copy_credit = min(self._copy_credit + COPY_SHARE, 1.0 + COPY_SHARE * SAMPLES * 2)
+        kind = self._kinds[command.kind]
+        if (n == 0 and kind["utility"] == self._copied_utility and kind["effect"] == Effect.PURE
+                and self._terms["second_copies"] and self._pace.timer < inf):
+            heappush(self._due, (self._now + self._pace.timer, command.number, command))
+
+    def _ring_of(self, server: int) -> Ring:
+        priced = self._terms["crossing_price"] > 0
+        return self._rings[priced and self._servers.zone[server] != self._terms["zone"]]
+
+    def _returned(self, number: int, n: int, server: int, outcome: Outcome, took: float, finished: bool,
+                  report: Report | None) -> None:
+        command = self._commands.get(number)
+        if command is None or n not in command.out:
+            return
+        command.out.discard(n)
+        servers = self._servers
+        servers.held[server] -= 1
+        ring = self._ring_of(server)
+        ring.out = max(0, ring.out - 1)
+        servers.out[server].pop((number, n), None)
+        self._learn(command, server, outcome, took)
+        if outcome not in (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT):
+            command.may += 1
+        if finished or outcome == Outcome.HANDLED:
+            self._close(command)
+        elif not command.over and not command.out and not command.queued:
+            self._again(command)
+        if command.over and not command.out:
+            self._commands.pop(number, None)
+
+    def _again(self, command: Command) -> None:
+        """Nothing is out any more and the command is not done: another relay, or its end."""
+        if not self._may_repeat(command) or self._now + self._tick >= command.give_up:
+            self._finish(command)
+        elif command.may and self._repeat_credit < 1.0:
+            # guards against repeats that swell an overload
+            self._finish(command)
+        else:
+            if command.may:
+                self._repeat_credit -= 1.0
+            if not self._send(command):
+                if command.may:
+                    self._finish(command)
+                else:
+                    self._hold(command)
+
+    def _close(self, command: Command) -> None:
+        """The command is done: what else is out for it is called off."""
+        command.over = True
+        for n in sorted(command.out):
+            if self._terms["withdrawals"]:
+                self._writer.withdraw(command.number, n)
+
+    def _finish(self, command: Command) -> None:
+        """Rule one: the final answer of a command that no server has given one for."""
+        if self._may_bounce(command):
+            self._writer.bounce(command.number, self._stay_away(command))
+        else:
+            self._writer.terminate(command.number)
+        self._close(command)
+        if not command.out:
+            self._commands.pop(command.number, None)
+
+    def _stay_away(self, command: Command) -> float:
+        if not self._terms["bounce_advice"]:
+            return 0.0
+        return min(self._terms["longest_advice"], self._kinds[command.kind]["target_time"])
+
+    def _left(self, number: int) -> None:
+        command = self._commands.get(number)
+        if command is not None and not command.over:
+            self._close(command)
+            if not command.out:
+                self._commands.pop(number, None)
+
+    def _started(self, number: int, n: int, server: int) -> None:
+        """A streamed answer belongs to the client from its first byte on: nothing is owed but its end."""
+        command = self._commands.get(number)
+        if command is not None and n in command.out:
+            self._servers.heard[server] = self._now
+            command.over = True
+            for other in sorted(command.out):
+                if other != n and self._terms["withdrawals"]:
+                    self._writer.withdraw(number, other)
+
+    # waiting here
+
+    def _hold(self, command: Command) -> None:
+        command.queued = True
+        insort(self._waiting, (-command.value, command.taken, command.number, command))
+        self._sort_out()
+
+    def _sort_out(self) -> None:
+        """Turns away at once what would wait past its time, the least valuable first.
+
+        Guards against work that waits long and comes to nothing: its wait is foretold from what stands
+        before it and what this node gets handled a second.
+        """
+        if not self._rate or not self._entry:
+            return
+        kept = []
+        for item in self._waiting:
+            command = item[3]
+            usual = self._pace.mean[command.kind] * max(1.0, self._pace.latest)
+            if self._now + len(kept) / self._rate + usual > command.target:
+                command.queued = False
+                self._finish(command)
+            else:
+                kept.append(item)
+        self._waiting = kept
+
+    def _drain_waiting(self) -> None:
+        if not self._waiting:
+            return
+        kept = []
+        for place, item in enumerate(self._waiting):
+            command = item[3]
+            if command.over:
+                continue
+            if not any(ring.out < ring.limit for ring in self._rings):
+                kept.extend(one for one in self._waiting[place:] if not one[3].over)
+                break
+            if self._send(command):
+                command.queued = False
+            else:
+                kept.append(item)
+        self._waiting = kept
+
+    # moments that come due
+
+    def _run_due(self) -> None:
+        due = self._due
+        while due and due[0][0] <= self._by:
+            moment, number, command = heappop(due)
+            if command.over:
+                continue
+            if number < 0:
+                command.queued = False
+                self._finish(command)
+            else:
+                self._copy(command, moment)
+
+    def _copy(self, command: Command, due: float) -> None:
+        """The design's one copy, of the most valuable pure type, to another server by the same split."""
+        if command.copied or len(command.out) != 1 or not self._may_repeat(command):
+            return
+        pace = self._pace
+        if self._now - due > pace.timer * MARGIN + self._tick:
+            # guards against a stalled turn: what is overdue together is spread out again
+            heappush(self._due, (self._now + pace.timer * self._chance.random(), command.number, command))
+            return
+        if pace.all_slow or self._copy_credit < 1.0 or self._now >= command.target:
+            return
+        for ring in self._rings:
+            if ring.out < ring.limit:
+                server = self._draw(ring, command)
+                if server >= 0:
+                    command.copied = True
+                    self._copy_credit -= 1.0
+                    self._relay(command, server)
+                    return
+
+    def _arm(self) -> None:
+        """Asks for the next round that is needed, unless one as early is already asked for."""
+        due = self._due
+        while due and due[0][2].over:
+            heappop(due)
+        moment = min(due[0][0] if due else inf, self._next_beat, self._ask_at)
+        if moment < self._armed:
+            self._armed = moment
+            self._writer.wake(max(moment, self._now + self._tick))
+
+    # health
+
+    def _learn(self, command: Command, server: int, outcome: Outcome, took: float) -> None:
+        servers, now = self._servers, self._now
+        if outcome == Outcome.HANDLED:
+            self._handled += 1
+            self._note(server, self._pace.add(now, command.kind, took, True))
+            servers.heard[server] = now
+            servers.errors[server] *= 1.0 - SMOOTHING
+            self._pass_trial(server)
+        elif outcome == Outcome.TIMED_OUT:
+            self._note(server, self._pace.add(now, command.kind, took, False))
+            self._fail_trial(server)
+        elif outcome == Outcome.WITHDRAWN:
+            share = took / (self._pace.mean[command.kind] or took or 1.0)
+            if share > servers.latency[server] > 0.0:
+                self._note(server, share)
+            self._fail_trial(server)
+        elif outcome in (Outcome.ERROR, Outcome.UNKNOWN):
+            servers.errors[server] += (1.0 - servers.errors[server]) * SMOOTHING
+            self._fail_trial(server)
+            if servers.errors[server] > FAILING and self._apart(servers.errors, server):
+                # guards against a server that fails fast and would draw traffic by its low latency
+                self._bar(server)
+        elif outcome in (Outcome.UNCONNECTED, Outcome.RESET):
+            # guards against a dead process; when it is back it is cold, whether or not the list says so
+            servers.refused[server] = now
+            if outcome == Outcome.RESET or took < self._terms["connect_within"]:
+                servers.born[server] = max(servers.born[server], now)
+            self._fail_trial(server)
+            self._bar(server)
+        elif outcome == Outcome.FULL:
+            servers.latency[server] = max(servers.latency[server], self._pace.median) * (1.0 + SMOOTHING)
+
+    def _note(self, server: int, share: float) -> None:
+        old = self._servers.latency[server]
+        self._servers.latency[server] = old + (share - old) * SMOOTHING if old else share
+
+    def _apart(self, figures: list[float], server: int) -> bool:
+        """Whether a server stands out: where half of the tier is as bad, it is the tier's trouble."""
+        ready = [figures[s] for s, fit in enumerate(self._servers.ready) if fit]
+        ready.sort()
+        return bool(ready) and figures[server] > 2.0 * ready[len(ready) // 2]
+
+    def _bar(self, server: int) -> None:
+        servers = self._servers
+        if servers.barred[server]:
+            return
+        servers.penalty[server] = min(max(RESOLVE / 2, 2 * servers.penalty[server]), WINDOW / 2)
+        servers.barred[server] = self._now + servers.penalty[server]
+        self._solve()
+
+    def _trial_for(self, command: Command) -> int:
+        """A barred server whose time has come gets one pure command: the way back in."""
+        servers = self._servers
+        if self._kinds[command.kind]["effect"] != Effect.PURE or command.servers:
+            return -1
+        for server, until in enumerate(servers.barred):
+            if until and until <= self._now and servers.ready[server] and not servers.trial[server]:
+                if self._may_go(command, server):
+                    servers.trial[server] = True
+                    return server
+        return -1
+
+    def _pass_trial(self, server: int) -> None:
+        servers = self._servers
+        servers.trial[server] = False
+        if servers.barred[server] and servers.latency[server] < OUTLIER * max(1.0, self._pace.median):
+            servers.barred[server] = 0.0
+            servers.errors[server] = 0.0
+            self._solve()
+
+    def _fail_trial(self, server: int) -> None:
+        servers = self._servers
+        if servers.barred[server] and servers.trial[server]:
+            servers.trial[server] = False
+            servers.penalty[server] = min(2 * servers.penalty[server], WINDOW / 2)
+            servers.barred[server] = self._now + servers.penalty[server]
+
+    def _beat(self) -> None:
+        now, pace, terms = self._now, self._pace, self._terms
+        step = BEAT * RESOLVE
+        self._next_beat = now + step
+        pace.beat(now)
+        self._rate += (self._handled / step - self._rate) * SMOOTHING if self._rate else self._handled / step
+        self._handled = 0
+        for i, one in enumerate(terms["customers"]):
+            quota = one["quota"] / terms["nodes"]
+            self._allowance[i] = min(quota, self._allowance[i] + quota * step)
+        if now >= self._next_resolve:
+            self._next_resolve = now + RESOLVE
+            pace.resolve(now)
+        self._watch_silence()
+        self._refill(step)
+        for ring in self._rings:
+            ring.adapt(pace.crowding, max(2.0, len(ring.servers) / terms["nodes"]))
+        self._solve()
+        self._sort_out()
+
+    def _watch_silence(self) -> None:
+        """Guards against servers that take work and answer nothing, or answer far too late."""
+        servers, patience = self._servers, SILENT * self._pace.p95
+        if not self._pace.p95:
+            return
+        silent = [s for s, out in enumerate(servers.out) if out and servers.ready[s]
+                  and self._now - next(iter(out.values())) > patience
+                  and servers.heard[s] < next(iter(out.values()))]
+        heard = sorted(one for one, fit in zip(servers.latency, servers.ready, strict=True) if fit and one)
+        usual = heard[len(heard) // 2] if heard else 1.0
+        slow = [s for s, fit in enumerate(servers.ready)
+                if fit and servers.latency[s] > OUTLIER * max(usual, 1.0)]
+        fit = sum(servers.ready)
+        if 2 * len(silent) > fit:
+            silent = []  # all suffer alike: nobody is expelled
+        for server in silent:
+            self._bar(server)
+            self._rescue(server, patience)
+        for server in slow:
+            if 2 * sum(1 for until in servers.barred if until) < fit:
+                self._bar(server)
+
+    def _rescue(self, server: int, patience: float) -> None:
+        """What may run elsewhere is relayed elsewhere when its server has gone silent."""
+        for (number, _), sent in list(self._servers.out[server].items()):
+            command = self._commands.get(number)
+            if command is None or command.over or len(command.out) > 1:
+                continue
+            old = self._now - sent >= patience / SILENT
+            if old and self._repeat_credit >= 1.0 and self._may_repeat(command) and self._send(command):
+                self._repeat_credit -= 1.0
+
+    def _refill(self, step: float) -> None:
+        """Rule four: what this node may send to a cold server, from what its like carry when warm.
+
+        Half of the stated multiple: what peers carry is less than what they can, and chance wants room.
+        """
+        servers, terms = self._servers, self._terms
+        carried: dict[int, list[float]] = {}
+        for server, ready in enumerate(servers.ready):
+            rate = servers.recent[server] / step
+            servers.recent[server] = 0
+            servers.carried[server] += (rate - servers.carried[server]) * SMOOTHING * BEAT
+            if ready and not servers.barred[server] and self._warmth(server) >= 1.0:
+                carried.setdefault(servers.model[server], []).append(servers.carried[server])
+        everywhere = [rate for rates in carried.values() for rate in rates]
+        for server, ready in enumerate(servers.ready):
+            warmth = self._warmth(server)
+            if ready and warmth < 1.0:
+                like = carried.get(servers.model[server]) or everywhere or [max(servers.carried, default=0.0)]
+                rate = terms["fall_multiple"] / 2 * warmth * sum(like) / len(like)
+                most = max(1.0, rate * terms["fall_span"] / 2)
+                servers.credit[server] = min(most, max(-most, servers.credit[server]) + rate * step)
--- /dev/null
+++ b/wheatroute/interface.py
@@ -0,0 +1,116 @@
+"""Types at the border of the decisions: what a round carries and where decisions are written.
+
+A host (the bench link today, a node on sockets later) calls `Balancer.round(now, events, writer)`
+once a round. `events` is a list of plain tuples, an `Event` first and its fields after it, in
+the order in which they happened:
+
+    (Event.ARRIVED, command, traffic_type, time_left, customer, repeated)
+    (Event.STARTED, command, n, server)                        a streamed answer has begun
+    (Event.RETURNED, command, n, server, outcome, took, finished, report)
+    (Event.LEFT, command)                                      nothing more is owed for it
+    (Event.LISTED, entries, whole)                             servers as the list has them
+    (Event.LIST_FAILED,)                                       a watch or fetch failed or was dropped
+    (Event.SOUNDED, server, outcome, took, report)             the answer to a probe
+    (Event.WOKEN,)                                             a moment asked for has come
+
+Commands, servers, traffic types, customers and zones are small dense numbers given out by the host,
+one numbering an instance; `customer` is -1 where there is none, `report` is None or maps a
+name to a figure. Relays of a command are numbered by `n` from 0 in the order they are written. Times
+are seconds. An entry of a list is `(server, zone, model, cell, state, size, started_at)`.
+"""
+
+from collections.abc import Mapping, Sequence
+from enum import IntEnum
+from typing import Any, Protocol
+
+
+class Event(IntEnum):
+    """What can have happened since the last round."""
+
+    ARRIVED = 0
+    STARTED = 1
+    RETURNED = 2
+    LEFT = 3
+    LISTED = 4
+    LIST_FAILED = 5
+    SOUNDED = 6
+    WOKEN = 7
+
+
+class Outcome(IntEnum):
+    """How a relay ended. FULL, UNCONNECTED and MOOT prove that it never ran."""
+
+    HANDLED = 0
+    ERROR = 1
+    FULL = 2
+    TIMED_OUT = 3
+    UNCONNECTED = 4
+    RESET = 5
+    WITHDRAWN = 6
+    MOOT = 7
+    UNKNOWN = 8
+
+
+class Effect(IntEnum):
+    """What may be done twice."""
+
+    PURE = 0
+    RECEIPTED = 1
+    EFFECTFUL = 2
+
+
+class Group(IntEnum):
+    """Which servers drop a repeat of a receipted command."""
+
+    ALL = 0
+    ZONE = 1
+    CELL = 2
+
+
+class State(IntEnum):
+    """What the list says of a server."""
+
+    LIVE = 0
+    DRAINING = 1
+    GONE = 2
+
+
+Happening = tuple[Any, ...]
+Entry = tuple[int, int, int, int, State, float, float]
+Terms = Mapping[str, Any]
+Report = Mapping[str, float]
+Round = Sequence[Happening]
+
+
+class Writer(Protocol):
+    """Takes the decisions of a round in the order in which they are to be carried out."""
+
+    def relay(self, command: int, server: int, time_out: float) -> None:
+        """Send the command to the server; a time-out of 0 lasts until the client quits."""
+
+    def withdraw(self, command: int, n: int) -> None:
+        """Stop waiting for one relay."""
+
+    def bounce(self, command: int, stay_away: float) -> None:
+        """Final answer: not done, trying again is harmless."""
+
+    def terminate(self, command: int) -> None:
+        """Final answer: failed, nothing promised."""
+
+    def wake(self, moment: float) -> None:
+        """Ask for a round at or after this moment."""
+
+    def sound(self, server: int) -> None:
+        """Probe a server."""
+
+    def watch(self, enable: bool) -> None:
+        """Ask for, or end, the stream of list changes."""
+
+    def fetch(self) -> None:
+        """Ask for the whole list once."""
+
+    def close(self, server: int) -> None:
+        """Shut idle connections to a server."""
+
+    def log(self, text: str) -> None:
+        """Leave a line for the operators."""
