--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -33,12 +33,12 @@
 
 # Left open by the design.
 SMOOTHING = 0.2  # weight of the newest latency of a server
-CROWDED = 2.5  # a tier whose median latency is this multiple of its best is as full as it should get
+CROWDED = 2.0  # relays that stay out this multiple of the shortest stay tell of servers full enough
 ALL_SLOW = 1.5  # no copies while the last second's median is this multiple of the window's
 SILENT = 3.0  # a server with a relay out for this multiple of the p95, nothing heard since, hangs
 OUTLIER = 4.0  # a server this multiple slower than the median server is left to trial relays
 FAILING = 0.3  # share of a server's answers that are errors
-RECALL = 0.97  # what is left of a remembered best after a beat without a better one
+RECALL = 0.97  # what is left of a remembered peak after a second without a higher one
 
 
 class Command:
@@ -78,18 +78,19 @@
         self.trial: list[bool] = []  # a trial relay is out
         self.refused: list[float] = []  # last failed connection or reset
         self.credit: list[float] = []  # relays a cold server may get now
-        self.carried: list[float] = []  # relays sent a second, smoothed
-        self.recent: list[int] = []  # relays sent since the last beat
+        self.full: list[float] = []  # turned a relay away as full: nothing new before this moment
+        self.carried: list[float] = []  # relays handled a second, smoothed
+        self.handled: list[int] = []  # relays handled since the last beat
         self.out: list[dict[tuple[int, int], float]] = []  # relays out and when they were sent, oldest first
 
     def extend(self, count: int) -> None:
         """Makes room for numbers below count."""
         for _ in range(count - len(self.ready)):
             self.ready.append(False)
-            for numbers in (self.zone, self.model, self.cell, self.held, self.recent):
+            for numbers in (self.zone, self.model, self.cell, self.held, self.handled):
                 numbers.append(0)
             for figures in (self.born, self.latency, self.errors, self.barred, self.penalty, self.credit,
-                            self.carried):
+                            self.full, self.carried):
                 figures.append(0.0)
             self.heard.append(-inf)
             self.refused.append(-inf)
@@ -112,7 +113,6 @@
         self.p95 = 0.0
         self.median = 0.0  # of the window, in multiples of the type's mean
         self.latest = 0.0  # the same of the last second
-        self.best = 0.0  # lowest median seen, slowly let go
         self.timer = inf
 
     def add(self, now: float, kind: int, took: float, handled: bool) -> float:
@@ -130,10 +130,6 @@
         if len(late) >= SAMPLES // 4:
             late.sort()
             self.latest = late[len(late) // 2]
-            if not self.best or self.latest < self.best:
-                self.best = self.latest
-            else:
-                self.best += (self.latest - self.best) * (1.0 - RECALL) * BEAT
         else:
             self.latest = 0.0
 
@@ -157,11 +153,6 @@
             out.append(sample)
         return out
 
-    @property
-    def crowding(self) -> float:
-        """The last second's median over the best seen: 1 when idle, unknown counts as idle."""
-        return self.latest / self.best if self.latest and self.best else 1.0
-
     @property
     def all_slow(self) -> bool:
         """Guards against copies when the whole tier slows: the lagging p95 would then send them all."""
@@ -169,25 +160,52 @@
 
 
 class Ring:
-    """Servers at one distance: this node's building, then all others. Holds their split and window."""
+    """Servers at one distance: this node's building, then all others. Holds their split and its limit."""
 
     def __init__(self) -> None:
         self.servers: list[int] = []
         self.bounds: list[float] = []  # running sum of the split
         self.share: dict[int, float] = {}
         self.out = 0
+        self.handled = 0  # since the last beat
+        self.level = 0.0  # relays out, smoothed
+        self.rate = 0.0  # relays handled a second, smoothed alike
+        self.peak = 0.0  # highest rate of late
+        self.best = 0.0  # shortest stay of late
         self.limit = inf  # relays this node may have out here
 
-    def adapt(self, crowding: float, floor: float) -> None:
-        """Keeps what is out where the tier's median latency stays under CROWDED times its best.
+    def beat(self, step: float, floor: float) -> None:
+        """Follows how long relays stay out: what is out over what gets handled a second.
+
+        Unlike the latency of those that came back, it also speaks of those that did not.
+        """
+        rate = self.handled / step
+        self.handled = 0
+        weight = min(0.25, max(step / WINDOW, self.rate * step / SAMPLES))
+        self.rate += (rate - self.rate) * weight
+        self.level += (self.out - self.level) * weight
+        self.peak = max(self.rate, self.peak * RECALL ** step)
+        if self.rate * WINDOW < SAMPLES:
+            return
+        stay = self.level / self.rate
+        if not self.best or stay < self.best:
+            self.best += (stay - self.best) * 0.25 if self.best else stay
+        else:
+            self.best += (stay - self.best) * step / (3 * WINDOW)
+        self._adapt(stay / self.best if self.best else 1.0, max(floor, self.best * self.peak))
+
+    def _adapt(self, crowding: float, floor: float) -> None:
+        """Keeps what is out where relays stay under CROWDED times the shortest stay.
 
-        Guards against servers that turn slow for long once too much waits in them: what they cannot
-        take waits here, where it can still be sorted, or be turned away unharmed.
+        Guards against servers that turn slow for long once too much waits in them: what they cannot take
+        waits here, where it can still be sorted, or be turned away unharmed. Never less than what keeps
+        every server at work, shortest stay times highest rate: else a slowness that all servers share
+        would be answered by ever less.
         """
         if crowding > CROWDED:
-            self.limit = max(floor, min(self.limit, self.out) * max(0.7, CROWDED / crowding))
+            self.limit = max(floor, min(self.limit, self.out) * max(0.8, CROWDED / crowding))
         elif self.out > 0.7 * self.limit:
-            self.limit += max(1.0, 0.1 * self.limit)
+            self.limit = max(floor, self.limit + max(0.5, 0.05 * self.limit))
 
 
 class Balancer:
@@ -332,7 +350,7 @@
 
     def _may_go(self, command: Command, server: int) -> bool:
         """Rule two's group and window, rule four's credit, and no server twice for a command."""
-        if server in command.servers:
+        if server in command.servers or self._servers.full[server] > self._now:
             return False
         if self._warmth(server) < 1.0 and self._servers.credit[server] < 1.0:
             return False
@@ -431,7 +449,6 @@
         command.out.add(n)
         servers.out[server][command.number, n] = self._now
         servers.held[server] += 1
-        servers.recent[server] += 1
         servers.credit[server] -= 1.0
         self._ring_of(server).out += 1
         self._writer.relay(command.number, server, command.give_up - self._now)
@@ -614,6 +631,9 @@
         servers, now = self._servers, self._now
         if outcome == Outcome.HANDLED:
             self._handled += 1
+            servers.handled[server] += 1
+            servers.full[server] = 0.0
+            self._ring_of(server).handled += 1
             self._note(server, self._pace.add(now, command.kind, took, True))
             servers.heard[server] = now
             servers.errors[server] *= 1.0 - SMOOTHING
@@ -640,7 +660,8 @@
             self._fail_trial(server)
             self._bar(server)
         elif outcome == Outcome.FULL:
-            servers.latency[server] = max(servers.latency[server], self._pace.median) * (1.0 + SMOOTHING)
+            # guards against knocking at a full server again before it can have done anything
+            servers.full[server] = now + self._pace.mean[command.kind] / 2
 
     def _note(self, server: int, share: float) -> None:
         old = self._servers.latency[server]
@@ -703,7 +724,7 @@
         self._watch_silence()
         self._refill(step)
         for ring in self._rings:
-            ring.adapt(pace.crowding, max(2.0, len(ring.servers) / terms["nodes"]))
+            ring.beat(step, max(2.0, 2.0 * len(ring.servers) / terms["nodes"]))
         self._solve()
         self._sort_out()
 
@@ -747,8 +768,8 @@
         servers, terms = self._servers, self._terms
         carried: dict[int, list[float]] = {}
         for server, ready in enumerate(servers.ready):
-            rate = servers.recent[server] / step
-            servers.recent[server] = 0
+            rate = servers.handled[server] / step
+            servers.handled[server] = 0
             servers.carried[server] += (rate - servers.carried[server]) * SMOOTHING * BEAT
             if ready and not servers.barred[server] and self._warmth(server) >= 1.0:
                 carried.setdefault(servers.model[server], []).append(servers.carried[server])
