--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -35,6 +35,9 @@
 SMOOTHING = 0.2  # weight of the newest latency of a server
 CROWDED = 2.0  # relays that stay out this multiple of the shortest stay tell of servers full enough
 ALL_SLOW = 1.5  # no copies while the last second's median is this multiple of the window's
+GROWTH = 0.05  # the limit's growth a beat while it binds and relays do not stay long
+START = 3.0  # relays a node may have out at first, in shares of a server for each node of the tier
+FLOOR = 2.0  # and at the least, alike
 SILENT = 3.0  # a server with a relay out for this multiple of the p95, nothing heard since, hangs
 OUTLIER = 4.0  # a server this multiple slower than the median server is left to trial relays
 FAILING = 0.3  # share of a server's answers that are errors
@@ -174,11 +177,14 @@
         self.best = 0.0  # shortest stay of late
         self.limit = inf  # relays this node may have out here
 
-    def beat(self, step: float, floor: float) -> None:
+    def beat(self, step: float, fair: float) -> None:
         """Follows how long relays stay out: what is out over what gets handled a second.
 
         Unlike the latency of those that came back, it also speaks of those that did not.
         """
+        if self.limit == inf:
+            # nothing is known at the start, when a node may wake up in the middle of a rush
+            self.limit = START * fair
         rate = self.handled / step
         self.handled = 0
         weight = min(0.25, max(step / WINDOW, self.rate * step / SAMPLES))
@@ -192,7 +198,7 @@
             self.best += (stay - self.best) * 0.25 if self.best else stay
         else:
             self.best += (stay - self.best) * step / (3 * WINDOW)
-        self._adapt(stay / self.best if self.best else 1.0, max(floor, self.best * self.peak))
+        self._adapt(stay / self.best if self.best else 1.0, max(FLOOR * fair, self.best * self.peak))
 
     def _adapt(self, crowding: float, floor: float) -> None:
         """Keeps what is out where relays stay under CROWDED times the shortest stay.
@@ -205,7 +211,7 @@
         if crowding > CROWDED:
             self.limit = max(floor, min(self.limit, self.out) * max(0.8, CROWDED / crowding))
         elif self.out > 0.7 * self.limit:
-            self.limit = max(floor, self.limit + max(0.5, 0.05 * self.limit))
+            self.limit = max(floor, self.limit + max(0.5, GROWTH * self.limit))
 
 
 class Balancer:
@@ -722,9 +728,11 @@
             self._next_resolve = now + RESOLVE
             pace.resolve(now)
         self._watch_silence()
+        servers = self._servers
         self._refill(step)
         for ring in self._rings:
-            ring.beat(step, max(2.0, 2.0 * len(ring.servers) / terms["nodes"]))
+            # a node's fair share of the tier; of the servers far off as much, should those at hand not do
+            ring.beat(step, max(1.0, sum(servers.ready) / terms["nodes"]))
         self._solve()
         self._sort_out()
 
