--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -33,7 +33,7 @@
 
 # Left open by the design.
 SMOOTHING = 0.2  # weight of the newest latency of a server
-CROWDED = 2.0  # relays that stay out this multiple of the shortest stay tell of servers full enough
+CROWDED = 1.5  # relays that stay out this multiple of the shortest stay tell of servers full enough
 ALL_SLOW = 1.5  # no copies while the last second's median is this multiple of the window's
 GROWTH = 0.05  # the limit's growth a beat while it binds and relays do not stay long
 START = 3.0  # relays a node may have out at first, in shares of a server for each node of the tier
@@ -197,7 +197,7 @@
         if not self.best or stay < self.best:
             self.best += (stay - self.best) * 0.25 if self.best else stay
         else:
-            self.best += (stay - self.best) * step / (3 * WINDOW)
+            self.best += (stay - self.best) * step / (10 * WINDOW)
         self._adapt(stay / self.best if self.best else 1.0, max(FLOOR * fair, self.best * self.peak))
 
     def _adapt(self, crowding: float, floor: float) -> None:
@@ -443,7 +443,8 @@
     def _last_resort(self, command: Command) -> int:
         """Guards against barring everything: with no server left, the least laden barred one is tried."""
         servers = self._servers
-        fit = [s for s, ready in enumerate(servers.ready) if ready and self._may_go(command, s)]
+        fit = [s for s, ready in enumerate(servers.ready)
+               if ready and servers.held[s] < FLOOR and self._may_go(command, s)]
         return min(fit, key=lambda s: (servers.held[s], servers.barred[s]), default=-1)
 
     def _relay(self, command: Command, server: int) -> None:
@@ -456,7 +457,8 @@
         servers.out[server][command.number, n] = self._now
         servers.held[server] += 1
         servers.credit[server] -= 1.0
-        self._ring_of(server).out += 1
+        ring = self._ring_of(server)
+        ring.out += server in ring.share
         self._writer.relay(command.number, server, command.give_up - self._now)
         self._copy_credit = min(self._copy_credit + COPY_SHARE, 1.0 + COPY_SHARE * SAMPLES * 2)
         kind = self._kinds[command.kind]
@@ -477,7 +479,7 @@
         servers = self._servers
         servers.held[server] -= 1
         ring = self._ring_of(server)
-        ring.out = max(0, ring.out - 1)
+        ring.out -= server in ring.share
         servers.out[server].pop((number, n), None)
         self._learn(command, server, outcome, took)
         if outcome not in (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT):
@@ -657,7 +659,7 @@
             self._fail_trial(server)
             if servers.errors[server] > FAILING and self._apart(servers.errors, server):
                 # guards against a server that fails fast and would draw traffic by its low latency
-                self._bar(server)
+                self._bar_few(server)
         elif outcome in (Outcome.UNCONNECTED, Outcome.RESET):
             # guards against a dead process; when it is back it is cold, whether or not the list says so
             servers.refused[server] = now
@@ -679,6 +681,13 @@
         ready.sort()
         return bool(ready) and figures[server] > 2.0 * ready[len(ready) // 2]
 
+    def _bar_few(self, server: int) -> None:
+        """Bars a server unless half of them are: what most suffer is the tier's trouble, not a server's."""
+        servers = self._servers
+        barred = sum(1 for until, fit in zip(servers.barred, servers.ready, strict=True) if until and fit)
+        if 2 * (barred + 1) <= sum(servers.ready):
+            self._bar(server)
+
     def _bar(self, server: int) -> None:
         servers = self._servers
         if servers.barred[server]:
@@ -748,15 +757,12 @@
         usual = heard[len(heard) // 2] if heard else 1.0
         slow = [s for s, fit in enumerate(servers.ready)
                 if fit and servers.latency[s] > OUTLIER * max(usual, 1.0)]
-        fit = sum(servers.ready)
-        if 2 * len(silent) > fit:
-            silent = []  # all suffer alike: nobody is expelled
         for server in silent:
-            self._bar(server)
-            self._rescue(server, patience)
+            self._bar_few(server)
+            if servers.barred[server]:
+                self._rescue(server, patience)
         for server in slow:
-            if 2 * sum(1 for until in servers.barred if until) < fit:
-                self._bar(server)
+            self._bar_few(server)
 
     def _rescue(self, server: int, patience: float) -> None:
         """What may run elsewhere is relayed elsewhere when its server has gone silent."""
