--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -14,7 +14,7 @@
 from bisect import bisect, insort
 from collections import deque
 from heapq import heappop, heappush
-from math import inf
+from math import inf, sqrt
 from random import Random
 
 from wheatroute.interface import Effect, Entry, Event, Group, Outcome, Report, Round, State, Terms, Writer
@@ -33,11 +33,14 @@
 
 # Left open by the design.
 SMOOTHING = 0.2  # weight of the newest latency of a server
-CROWDED = 1.5  # relays that stay out this multiple of the shortest stay tell of servers full enough
+CROWDED = 1.4  # relays that stay out this multiple of the shortest stay tell of servers full enough
+SPILL = 1.1  # the same while there are other servers farther off
+DOUBT = 2.0  # to which this many standard errors of the stay are added: uneven work makes it a rough figure
 ALL_SLOW = 1.5  # no copies while the last second's median is this multiple of the window's
 GROWTH = 0.05  # the limit's growth a beat while it binds and relays do not stay long
 START = 3.0  # relays a node may have out at first, in shares of a server for each node of the tier
 FLOOR = 2.0  # and at the least, alike
+BUSY = 1.0  # nor less than this multiple of what the highest rate holds at the shortest stay
 SILENT = 3.0  # a server with a relay out for this multiple of the p95, nothing heard since, hangs
 OUTLIER = 4.0  # a server this multiple slower than the median server is left to trial relays
 FAILING = 0.3  # share of a server's answers that are errors
@@ -117,13 +120,16 @@
         self.median = 0.0  # of the window, in multiples of the type's mean
         self.latest = 0.0  # the same of the last second
         self.timer = inf
+        self.spread = 1.0  # standard deviation over mean of the latencies within a type
+        self.seen = [0] * kinds
 
     def add(self, now: float, kind: int, took: float, handled: bool) -> float:
         """Takes one latency in; returns it in multiples of its traffic type's mean."""
         mean = self.mean[kind]
         if handled:
             # slow to move, so that it speaks of the type and not of the moment
-            self.mean[kind] = mean = mean + (took - mean) * 0.02 if mean else took
+            self.seen[kind] = min(self.seen[kind] + 1, 5 * SAMPLES)
+            self.mean[kind] = mean = mean + (took - mean) / self.seen[kind]
         share = took / mean if mean else 1.0
         self.samples.append((now, took, share))
         return share
@@ -147,6 +153,8 @@
         shares = sorted(share for _, _, share in self.samples)
         self.p95, self.median = raw[min(count - 1, int(count * 0.95))], shares[count // 2]
         self.timer = self.p95 * (1.0 + MARGIN) if count >= SAMPLES else inf
+        mean = sum(shares) / count
+        self.spread = sqrt(sum((share - mean) ** 2 for share in shares) / count) / mean if mean else 1.0
 
     def _since(self, moment: float) -> list[tuple[float, float, float]]:
         out = []
@@ -177,7 +185,7 @@
         self.best = 0.0  # shortest stay of late
         self.limit = inf  # relays this node may have out here
 
-    def beat(self, step: float, fair: float) -> None:
+    def beat(self, step: float, fair: float, spread: float, elsewhere: bool) -> None:
         """Follows how long relays stay out: what is out over what gets handled a second.
 
         Unlike the latency of those that came back, it also speaks of those that did not.
@@ -198,18 +206,20 @@
             self.best += (stay - self.best) * 0.25 if self.best else stay
         else:
             self.best += (stay - self.best) * step / (10 * WINDOW)
-        self._adapt(stay / self.best if self.best else 1.0, max(FLOOR * fair, self.best * self.peak))
+        # calls go far off early, what they cost there is small; they are kept waiting or bounced late
+        crowded = (SPILL if elsewhere else CROWDED) + DOUBT * spread / sqrt(self.rate * step / weight)
+        self._adapt(stay / self.best / crowded, max(FLOOR * fair, BUSY * self.best * self.peak))
 
     def _adapt(self, crowding: float, floor: float) -> None:
-        """Keeps what is out where relays stay under CROWDED times the shortest stay.
+        """Keeps what is out where relays stay little longer than the shortest stay.
 
         Guards against servers that turn slow for long once too much waits in them: what they cannot take
         waits here, where it can still be sorted, or be turned away unharmed. Never less than what keeps
         every server at work, shortest stay times highest rate: else a slowness that all servers share
         would be answered by ever less.
         """
-        if crowding > CROWDED:
-            self.limit = max(floor, min(self.limit, self.out) * max(0.8, CROWDED / crowding))
+        if crowding > 1.0:
+            self.limit = max(floor, min(self.limit, self.out) * max(0.8, 1.0 / crowding))
         elif self.out > 0.7 * self.limit:
             self.limit = max(floor, self.limit + max(0.5, GROWTH * self.limit))
 
@@ -741,7 +751,8 @@
         self._refill(step)
         for ring in self._rings:
             # a node's fair share of the tier; of the servers far off as much, should those at hand not do
-            ring.beat(step, max(1.0, sum(servers.ready) / terms["nodes"]))
+            ring.beat(step, max(1.0, sum(servers.ready) / terms["nodes"]), pace.spread,
+                      ring is self._rings[0] and bool(self._rings[1].servers))
         self._solve()
         self._sort_out()
 
