--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -14,7 +14,7 @@
 from bisect import bisect, insort
 from collections import deque
 from heapq import heappop, heappush
-from math import inf, sqrt
+from math import inf, log2, sqrt
 from random import Random
 
 from wheatroute.interface import Effect, Entry, Event, Group, Outcome, Report, Round, State, Terms, Writer
@@ -41,6 +41,7 @@
 START = 3.0  # relays a node may have out at first, in shares of a server for each node of the tier
 FLOOR = 2.0  # and at the least, alike
 BUSY = 1.0  # nor less than this multiple of what the highest rate holds at the shortest stay
+IDLE_STEPS = 7  # how long a connection was idle, in doublings of half a second
 SILENT = 3.0  # a server with a relay out for this multiple of the p95, nothing heard since, hangs
 OUTLIER = 4.0  # a server this multiple slower than the median server is left to trial relays
 FAILING = 0.3  # share of a server's answers that are errors
@@ -51,7 +52,7 @@
     """One command: its times, and the account of its relays that rules one and two are kept by."""
 
     __slots__ = ("number", "kind", "taken", "target", "give_up", "value", "servers", "sent", "out", "may",
-                 "group", "since", "over", "copied", "queued")
+                 "group", "since", "over", "copied", "queued", "idle")
 
     def __init__(self, number: int, kind: int, taken: float, target: float, give_up: float,
                  value: float) -> None:
@@ -59,6 +60,7 @@
         self.give_up, self.value = give_up, value
         self.servers: list[int] = []  # by relay
         self.sent: list[float] = []  # by relay
+        self.idle: list[int] = []  # by relay: how long its connection may have been idle, in steps
         self.out: set[int] = set()  # relays without an outcome; only sorted() or min() of it is used
         self.may = 0  # relays that came back and may have run
         self.group = -1  # the first relay that may have run decides where repeats may go
@@ -79,6 +81,7 @@
         self.held: list[int] = []  # this node's relays out
         self.errors: list[float] = []  # smoothed share of errors
         self.heard: list[float] = []  # last answer that shows it works
+        self.used: list[float] = []  # last answer: since then its connection is idle
         self.barred: list[float] = []  # no ordinary relays before a trial after this moment succeeds
         self.penalty: list[float] = []  # how long the next bar lasts
         self.trial: list[bool] = []  # a trial relay is out
@@ -99,6 +102,7 @@
                             self.full, self.carried):
                 figures.append(0.0)
             self.heard.append(-inf)
+            self.used.append(-inf)
             self.refused.append(-inf)
             self.trial.append(False)
             self.out.append({})
@@ -170,6 +174,40 @@
         return self.latest > ALL_SLOW * self.median > 0.0
 
 
+class Idleness:
+    """Whether relays get lost on connections that were idle for long.
+
+    Guards against paths that forget an idle connection without a word: a relay on it is never answered,
+    though the server is well and answers what comes on busy or new connections.
+    """
+
+    def __init__(self) -> None:
+        self.good = [0.0] * IDLE_STEPS
+        self.lost = [0.0] * IDLE_STEPS
+        self.stale = inf  # connections idle for this long are not trusted
+
+    def step(self, idle: float) -> int:
+        """
+        >>> [Idleness().step(idle) for idle in (0.0, 0.4, 0.5, 1.0, 1.9, 2.0, 900.0)]
+        [0, 0, 1, 2, 2, 3, 6]
+        """
+        return 0 if idle < RESOLVE / 2 else min(IDLE_STEPS - 1, int(log2(2 * idle / RESOLVE)) + 1)
+
+    def resolve(self) -> None:
+        """Finds the shortest idleness from which on relays get lost far more often than on busy ones."""
+        base = (self.lost[0] + 1.0) / (self.good[0] + self.lost[0] + SAMPLES)
+        self.stale = inf
+        for i in range(1, IDLE_STEPS):
+            lost, good = sum(self.lost[i:]), sum(self.good[i:])
+            here = self.lost[i] / (self.lost[i] + self.good[i] + 1.0)
+            if lost >= 3.0 and lost / (lost + good) > SILENT * base and here > base:
+                self.stale = RESOLVE / 2 * 2 ** (i - 1)
+                break
+        for i in range(IDLE_STEPS):
+            self.good[i] *= RECALL
+            self.lost[i] *= RECALL
+
+
 class Ring:
     """Servers at one distance: this node's building, then all others. Holds their split and its limit."""
 
@@ -234,6 +272,7 @@
         self._entry = terms["tier"] == 0
         self._servers = Servers()
         self._pace = Pace(len(self._kinds))
+        self._idleness = Idleness()
         self._rings = [Ring(), Ring()]
         self._commands: dict[int, Command] = {}
         self._waiting: list[tuple[float, float, int, Command]] = []  # most valuable first
@@ -464,6 +503,7 @@
         command.servers.append(server)
         command.sent.append(self._now)
         command.out.add(n)
+        command.idle.append(self._idleness.step(self._freshen(server)))
         servers.out[server][command.number, n] = self._now
         servers.held[server] += 1
         servers.credit[server] -= 1.0
@@ -476,6 +516,17 @@
                 and self._terms["second_copies"] and self._pace.timer < inf):
             heappush(self._due, (self._now + self._pace.timer, command.number, command))
 
+    def _freshen(self, server: int) -> float:
+        """Shuts connections too long idle to be trusted; returns how long the one now used was idle."""
+        servers = self._servers
+        if servers.held[server] or servers.used[server] == -inf:
+            return 0.0
+        idle = self._now - servers.used[server]
+        if idle < self._idleness.stale:
+            return idle
+        self._writer.close(server)
+        return 0.0
+
     def _ring_of(self, server: int) -> Ring:
         priced = self._terms["crossing_price"] > 0
         return self._rings[priced and self._servers.zone[server] != self._terms["zone"]]
@@ -492,6 +543,7 @@
         ring.out -= server in ring.share
         servers.out[server].pop((number, n), None)
         self._learn(command, server, outcome, took)
+        self._learn_idleness(command, n, server, outcome, took)
         if outcome not in (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT):
             command.may += 1
         if finished or outcome == Outcome.HANDLED:
@@ -681,6 +733,14 @@
             # guards against knocking at a full server again before it can have done anything
             servers.full[server] = now + self._pace.mean[command.kind] / 2
 
+    def _learn_idleness(self, command: Command, n: int, server: int, outcome: Outcome, took: float) -> None:
+        step, usual = command.idle[n], self._pace.mean[command.kind] * max(1.0, self._pace.latest)
+        if outcome == Outcome.HANDLED:
+            self._idleness.good[step] += 1.0
+            self._servers.used[server] = self._now
+        elif outcome in (Outcome.TIMED_OUT, Outcome.WITHDRAWN) and took > 2 * usual:
+            self._idleness.lost[step] += 1.0
+
     def _note(self, server: int, share: float) -> None:
         old = self._servers.latency[server]
         self._servers.latency[server] = old + (share - old) * SMOOTHING if old else share
@@ -746,6 +806,7 @@
         if now >= self._next_resolve:
             self._next_resolve = now + RESOLVE
             pace.resolve(now)
+            self._idleness.resolve()
         self._watch_silence()
         servers = self._servers
         self._refill(step)
