--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -797,7 +797,7 @@
         now, pace, terms = self._now, self._pace, self._terms
         step = BEAT * RESOLVE
         # guards against a stalled turn: answers may lie unread, so nobody is blamed for silence
-        stalled = now - self._next_beat > step
+        stalled = now - self._next_beat > step / 2
         self._next_beat = now + step
         pace.beat(now)
         self._rate += (self._handled / step - self._rate) * SMOOTHING if self._rate else self._handled / step
