--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -85,7 +85,6 @@
         self.barred: list[float] = []  # no ordinary relays before a trial after this moment succeeds
         self.penalty: list[float] = []  # how long the next bar lasts
         self.trial: list[bool] = []  # a trial relay is out
-        self.refused: list[float] = []  # last failed connection or reset
         self.credit: list[float] = []  # relays a cold server may get now
         self.full: list[float] = []  # turned a relay away as full: nothing new before this moment
         self.carried: list[float] = []  # relays handled a second, smoothed
@@ -103,7 +102,6 @@
                 figures.append(0.0)
             self.heard.append(-inf)
             self.used.append(-inf)
-            self.refused.append(-inf)
             self.trial.append(False)
             self.out.append({})
 
@@ -723,9 +721,9 @@
                 # guards against a server that fails fast and would draw traffic by its low latency
                 self._bar_few(server)
         elif outcome in (Outcome.UNCONNECTED, Outcome.RESET):
-            # guards against a dead process; when it is back it is cold, whether or not the list says so
-            servers.refused[server] = now
-            if outcome == Outcome.RESET or took < self._terms["connect_within"]:
+            # guards against a dead process; when it is back it is cold, whether or not the list says so.
+            # A reset or a connection that only never came may be the path: that makes no server cold
+            if outcome == Outcome.UNCONNECTED and took < self._terms["connect_within"] / 2:
                 servers.born[server] = max(servers.born[server], now)
             self._fail_trial(server)
             self._bar(server)
