--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -83,6 +83,7 @@
         self.heard: list[float] = []  # last answer that shows it works
         self.used: list[float] = []  # last answer: since then its connection is idle
         self.barred: list[float] = []  # no ordinary relays before a trial after this moment succeeds
+        self.misses: list[int] = []  # connections that failed or broke since the last answer
         self.penalty: list[float] = []  # how long the next bar lasts
         self.trial: list[bool] = []  # a trial relay is out
         self.credit: list[float] = []  # relays a cold server may get now
@@ -95,7 +96,7 @@
         """Makes room for numbers below count."""
         for _ in range(count - len(self.ready)):
             self.ready.append(False)
-            for numbers in (self.zone, self.model, self.cell, self.held, self.handled):
+            for numbers in (self.zone, self.model, self.cell, self.held, self.handled, self.misses):
                 numbers.append(0)
             for figures in (self.born, self.latency, self.errors, self.barred, self.penalty, self.credit,
                             self.full, self.carried):
@@ -705,6 +706,7 @@
             self._note(server, self._pace.add(now, command.kind, took, True))
             servers.heard[server] = now
             servers.errors[server] *= 1.0 - SMOOTHING
+            servers.misses[server] = 0
             self._pass_trial(server)
         elif outcome == Outcome.TIMED_OUT:
             self._note(server, self._pace.add(now, command.kind, took, False))
@@ -713,7 +715,8 @@
             share = took / (self._pace.mean[command.kind] or took or 1.0)
             if share > servers.latency[server] > 0.0:
                 self._note(server, share)
-            self._fail_trial(server)
+                self._fail_trial(server)
+            servers.trial[server] = False
         elif outcome in (Outcome.ERROR, Outcome.UNKNOWN):
             servers.errors[server] += (1.0 - servers.errors[server]) * SMOOTHING
             self._fail_trial(server)
@@ -726,7 +729,11 @@
             if outcome == Outcome.UNCONNECTED and took < self._terms["connect_within"] / 2:
                 servers.born[server] = max(servers.born[server], now)
             self._fail_trial(server)
-            self._bar(server)
+            servers.misses[server] += 1
+            if servers.misses[server] > 1:
+                # one miss alone may be the path's: where paths are bad to all servers, barring at the first
+                # would crowd the few that happened to be reached
+                self._bar(server)
         elif outcome == Outcome.FULL:
             # guards against knocking at a full server again before it can have done anything
             servers.full[server] = now + self._pace.mean[command.kind] / 2
@@ -780,8 +787,7 @@
         servers = self._servers
         servers.trial[server] = False
         if servers.barred[server] and servers.latency[server] < OUTLIER * max(1.0, self._pace.median):
-            servers.barred[server] = 0.0
-            servers.errors[server] = 0.0
+            servers.barred[server] = servers.penalty[server] = servers.errors[server] = 0.0
             self._solve()
 
     def _fail_trial(self, server: int) -> None:
