--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -15,7 +15,7 @@
     out = {"nodes": 1, "node": 0, "tick": 0.005, "tier": 0, "tiers": 1, "second_copies": True,
            "withdrawals": True, "probes": False, "bounce_advice": True, "longest_advice": 2.0,
            "most_relays": 4, "connect_within": 0.1, "excess_utility": 0.05, "crossing_price": 0.0,
-           "ask_within": 10.0,
+           "idle_closed": 30.0, "calls_per_connection": 1, "ask_within": 10.0,
            "cold_time": 20.0, "cold_share": 0.1, "drain_grace": 0.5, "fall_span": 3.0, "fall_multiple": 3.0,
            "zone": 0, "list_on_request": False, "work_counts": False, "customers": [], "reported": [],
            "traffic_types": [kind(Effect.PURE, 5.0), kind(Effect.RECEIPTED, 3.0, Group.CELL),
--- a/wheatroute/benchlink/words.py
+++ b/wheatroute/benchlink/words.py
@@ -34,6 +34,7 @@
     "longest_advice": ("allowed.max-retry-after", 0.0),
     "most_relays": ("allowed.most-relays", 1),
     "connect_within": ("allowed.connect-timeout", 0.0),
+    "idle_closed": ("allowed.conn-idle", float("inf")),
     "calls_per_connection": ("allowed.streams-per-conn", 1),
     "most_open": ("allowed.max-open", 0),
     "excess_utility": ("excess-utility", 1.0),
--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -52,7 +52,8 @@
     """One command: its times, and the account of its relays that rules one and two are kept by."""
 
     __slots__ = ("number", "kind", "taken", "target", "give_up", "value", "servers", "sent", "out", "may",
-                 "group", "since", "over", "copied", "queued", "idle")
+                 "group", "since", "over", "copied", "queued", "idle",
+                 "opened")
 
     def __init__(self, number: int, kind: int, taken: float, target: float, give_up: float,
                  value: float) -> None:
@@ -61,6 +62,7 @@
         self.servers: list[int] = []  # by relay
         self.sent: list[float] = []  # by relay
         self.idle: list[int] = []  # by relay: how long its connection may have been idle, in steps
+        self.opened: list[bool] = []  # by relay: it needed a new connection
         self.out: set[int] = set()  # relays without an outcome; only sorted() or min() of it is used
         self.may = 0  # relays that came back and may have run
         self.group = -1  # the first relay that may have run decides where repeats may go
@@ -83,6 +85,9 @@
         self.heard: list[float] = []  # last answer that shows it works
         self.used: list[float] = []  # last answer: since then its connection is idle
         self.barred: list[float] = []  # no ordinary relays before a trial after this moment succeeds
+        self.spare: list[int] = []  # relays that fit on connections already open
+        self.no_new: list[float] = []  # a new connection failed: none is tried before this moment
+        self.wait_new: list[float] = []  # how long that lasts the next time
         self.misses: list[int] = []  # connections that failed or broke since the last answer
         self.penalty: list[float] = []  # how long the next bar lasts
         self.trial: list[bool] = []  # a trial relay is out
@@ -96,10 +101,11 @@
         """Makes room for numbers below count."""
         for _ in range(count - len(self.ready)):
             self.ready.append(False)
-            for numbers in (self.zone, self.model, self.cell, self.held, self.handled, self.misses):
+            for numbers in (self.zone, self.model, self.cell, self.held, self.handled, self.misses,
+                            self.spare):
                 numbers.append(0)
             for figures in (self.born, self.latency, self.errors, self.barred, self.penalty, self.credit,
-                            self.full, self.carried):
+                            self.full, self.carried, self.no_new, self.wait_new):
                 figures.append(0.0)
             self.heard.append(-inf)
             self.used.append(-inf)
@@ -406,6 +412,8 @@
         """Rule two's group and window, rule four's credit, and no server twice for a command."""
         if server in command.servers or self._servers.full[server] > self._now:
             return False
+        if self._servers.no_new[server] > self._now and not self._servers.spare[server]:
+            return False
         if self._warmth(server) < 1.0 and self._servers.credit[server] < 1.0:
             return False
         if self._kinds[command.kind]["effect"] == Effect.RECEIPTED and (command.may or command.out):
@@ -503,6 +511,8 @@
         command.sent.append(self._now)
         command.out.add(n)
         command.idle.append(self._idleness.step(self._freshen(server)))
+        command.opened.append(not servers.spare[server])
+        servers.spare[server] += (self._terms["calls_per_connection"] if command.opened[n] else 0) - 1
         servers.out[server][command.number, n] = self._now
         servers.held[server] += 1
         servers.credit[server] -= 1.0
@@ -521,9 +531,11 @@
         if servers.held[server] or servers.used[server] == -inf:
             return 0.0
         idle = self._now - servers.used[server]
-        if idle < self._idleness.stale:
+        if idle < min(self._idleness.stale, self._terms["idle_closed"]):
             return idle
-        self._writer.close(server)
+        servers.spare[server] = 0
+        if idle < self._terms["idle_closed"]:
+            self._writer.close(server)
         return 0.0
 
     def _ring_of(self, server: int) -> Ring:
@@ -543,6 +555,7 @@
         servers.out[server].pop((number, n), None)
         self._learn(command, server, outcome, took)
         self._learn_idleness(command, n, server, outcome, took)
+        self._learn_connections(command.opened[n], server, outcome)
         if outcome not in (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT):
             command.may += 1
         if finished or outcome == Outcome.HANDLED:
@@ -729,11 +742,6 @@
             if outcome == Outcome.UNCONNECTED and took < self._terms["connect_within"] / 2:
                 servers.born[server] = max(servers.born[server], now)
             self._fail_trial(server)
-            servers.misses[server] += 1
-            if servers.misses[server] > 1:
-                # one miss alone may be the path's: where paths are bad to all servers, barring at the first
-                # would crowd the few that happened to be reached
-                self._bar(server)
         elif outcome == Outcome.FULL:
             # guards against knocking at a full server again before it can have done anything
             servers.full[server] = now + self._pace.mean[command.kind] / 2
@@ -746,6 +754,29 @@
         elif outcome in (Outcome.TIMED_OUT, Outcome.WITHDRAWN) and took > 2 * usual:
             self._idleness.lost[step] += 1.0
 
+    def _learn_connections(self, opened: bool, server: int, outcome: Outcome) -> None:
+        """Keeps count of open connections, and of servers that take no new ones.
+
+        Guards against a tier that accepts no new connections for a while, or has no room for more, though
+        it is well and answers on those that are open: they are used, and not crowded onto few servers.
+        """
+        servers = self._servers
+        if outcome in (Outcome.HANDLED, Outcome.ERROR, Outcome.FULL):
+            servers.spare[server] += 1
+            if opened:
+                servers.wait_new[server] = servers.no_new[server] = 0.0
+            return
+        if outcome == Outcome.UNCONNECTED and opened:
+            servers.wait_new[server] = min(max(RESOLVE / 2, 2 * servers.wait_new[server]), WINDOW / 2)
+            servers.no_new[server] = self._now + servers.wait_new[server]
+        elif outcome in (Outcome.UNCONNECTED, Outcome.RESET):
+            servers.spare[server] = 0
+            servers.misses[server] += 1
+            if servers.misses[server] > 1:
+                # one miss alone may be the path's: where paths are bad to all servers, barring at the first
+                # would crowd the few that happened to be reached
+                self._bar(server)
+
     def _note(self, server: int, share: float) -> None:
         old = self._servers.latency[server]
         self._servers.latency[server] = old + (share - old) * SMOOTHING if old else share
