--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -33,8 +33,8 @@
 
 # Left open by the design.
 SMOOTHING = 0.2  # weight of the newest latency of a server
-CROWDED = 1.4  # relays that stay out this multiple of the shortest stay tell of servers full enough
-SPILL = 1.1  # the same while there are other servers farther off
+CROWDED = 0.9  # relays that stay out longer by this share of the shortest stay tell of servers full enough
+SPILL = 0.2  # the same while there are other servers farther off
 DOUBT = 2.0  # to which this many standard errors of the stay are added: uneven work makes it a rough figure
 ALL_SLOW = 1.5  # no copies while the last second's median is this multiple of the window's
 GROWTH = 0.2  # the limit's growth a beat while it binds, times how far relays are from staying long
@@ -228,7 +228,7 @@
         self.best = 0.0  # shortest stay of late
         self.limit = inf  # relays this node may have out here
 
-    def beat(self, step: float, fair: float, spread: float, elsewhere: bool) -> None:
+    def beat(self, step: float, fair: float, spread: float, longer: float) -> None:
         """Follows how long relays stay out: what is out over what gets handled a second.
 
         Unlike the latency of those that came back, it also speaks of those that did not.
@@ -249,8 +249,7 @@
             self.best += (stay - self.best) * 0.25 if self.best else stay
         else:
             self.best += (stay - self.best) * step / (10 * WINDOW)
-        # calls go far off early, what they cost there is small; they are kept waiting or bounced late
-        crowded = (SPILL if elsewhere else CROWDED) + DOUBT * spread / sqrt(self.rate * step / weight)
+        crowded = 1.0 + longer + DOUBT * spread / sqrt(self.rate * step / weight)
         self._adapt(stay / self.best / crowded, max(FLOOR * fair, BUSY * self.best * self.peak))
 
     def _adapt(self, crowding: float, floor: float) -> None:
@@ -848,10 +847,14 @@
             self._watch_silence()
         servers = self._servers
         self._refill(step)
+        # the wait that a server's own crowd adds is thinned out by the calls it makes to the tiers below
+        depth = max(1, terms["tiers"] - terms["tier"])
+        near, far = self._rings
         for ring in self._rings:
+            # calls go far off early, what they cost there is small; they are kept waiting or bounced late
+            longer = (SPILL if ring is near and far.servers else CROWDED) / depth
             # a node's fair share of the tier; of the servers far off as much, should those at hand not do
-            ring.beat(step, max(1.0, sum(servers.ready) / terms["nodes"]), pace.spread,
-                      ring is self._rings[0] and bool(self._rings[1].servers))
+            ring.beat(step, max(1.0, sum(servers.ready) / terms["nodes"]), pace.spread, longer)
         self._solve()
         self._sort_out()
 
