--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -270,3 +270,30 @@
 def test_same_events_same_actions():
     runs = [Host(answer=slow_now_and_then, seed=7).run(4.0, 50).did for _ in range(2)]
     assert runs[0] == runs[1]
+
+
+def test_a_tier_that_takes_no_new_connections_is_used_on_those_open():
+    shut = [False]
+
+    def answer(server, relay):
+        opened = host.open.setdefault(server, [0, 0])  # in use, open
+        opened[0] = sum(1 for number, n in host.out if host.relays[number][n] == server)
+        if opened[0] <= opened[1]:
+            return HANDLED
+        if shut[0] and server:
+            return Outcome.UNCONNECTED, 0.1
+        opened[1] = opened[0]
+        return HANDLED
+    host = Host(answer=answer)
+    host.open = {}
+    host.run(4.0, 40)
+    shut[0], since, first = True, host.now, host.arrivals
+    host.run(6.0, 60)
+    failed = [n for n in range(first, host.arrivals - 20) if host.final.get(n) != "handled"]
+    assert len(failed) < 10 and all(host.sent(s, since) > 40 for s in range(4))
+
+
+def test_a_reset_or_an_unreached_server_is_not_taken_for_cold():
+    host = Host(answer=lambda s, r: (Outcome.RESET, 0.05) if r[0] % 5 == 0 and not r[1] else HANDLED)
+    host.run(8.0, 60)
+    assert all(host.sent(s, host.now - 2.0) > 15 for s in range(4))
