--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -42,6 +42,7 @@
 FLOOR = 4.0  # and at the least, alike
 BUSY = 1.0  # nor less than this multiple of what the highest rate holds at the shortest stay
 IDLE_STEPS = 7  # how long a connection was idle, in doublings of half a second
+HASTE = 2.5  # usual latencies that a held command must have left when it starts
 SILENT = 3.0  # a server with a relay out for this multiple of the p95, nothing heard since, hangs
 OUTLIER = 4.0  # a server this multiple slower than the median server is left to trial relays
 FAILING = 0.3  # share of a server's answers that are errors
@@ -279,7 +280,7 @@
         self._idleness = Idleness()
         self._rings = [Ring(), Ring()]
         self._commands: dict[int, Command] = {}
-        self._waiting: list[tuple[float, float, int, Command]] = []  # most valuable first
+        self._waiting: list[tuple[float, int, Command]] = []  # by when they must start
         self._due: list[tuple[float, int, Command]] = []  # copy timers (number of relays > 0) and ends
         self._armed = inf
         self._next_beat = self._next_resolve = -inf
@@ -623,38 +624,45 @@
 
     def _hold(self, command: Command) -> None:
         command.queued = True
-        insort(self._waiting, (-command.value, command.taken, command.number, command))
+        usual = self._pace.mean[command.kind] * max(1.0, self._pace.latest)
+        insort(self._waiting, (command.target - HASTE * usual, command.number, command))
         self._sort_out()
 
     def _sort_out(self) -> None:
-        """Turns away at once what would wait past its time, the least valuable first.
+        """Turns away at once what cannot all be handled in time, the least valuable for its work first.
 
-        Guards against work that waits long and comes to nothing: its wait is foretold from what stands
-        before it and what this node gets handled a second.
+        Guards against work that waits long and comes to nothing, and against starving the least valuable
+        while there is room for all: those that must start first go first, and only where one would start
+        too late, foretold from the work before it and the rate here, the cheapest up to it is given up.
         """
         if not self._rate or not self._entry:
             return
-        kept = []
-        for item in self._waiting:
-            command = item[3]
-            usual = self._pace.mean[command.kind] * max(1.0, self._pace.latest)
-            if self._now + len(kept) / self._rate + usual > command.target:
-                command.queued = False
-                self._finish(command)
-            else:
-                kept.append(item)
-        self._waiting = kept
+        mean = self._pace.mean
+        usual = sum(mean) / len(mean) or 1.0
+        ahead, fit, dropped = 0.0, [], set()
+        for start_by, number, command in self._waiting:
+            work = (mean[command.kind] or usual) / usual / self._rate
+            heappush(fit, (command.value, -number, work, command))
+            ahead += work
+            while fit and self._now + ahead > start_by:
+                _, number, work, least = heappop(fit)
+                ahead -= work
+                dropped.add(-number)
+                least.queued = False
+                self._finish(least)
+        if dropped:
+            self._waiting = [item for item in self._waiting if item[1] not in dropped]
 
     def _drain_waiting(self) -> None:
         if not self._waiting:
             return
         kept = []
         for place, item in enumerate(self._waiting):
-            command = item[3]
+            command = item[2]
             if command.over:
                 continue
             if not any(ring.out < ring.limit for ring in self._rings):
-                kept.extend(one for one in self._waiting[place:] if not one[3].over)
+                kept.extend(one for one in self._waiting[place:] if not one[2].over)
                 break
             if self._send(command):
                 command.queued = False
