--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -289,6 +289,7 @@
         self._allowance = [one["quota"] / terms["nodes"] for one in terms["customers"]]
         self._handled = 0
         self._rate = 0.0  # commands handled a second
+        self._short = -inf  # when room last ran short of what had to be in time
         self._ask_at = -inf if terms["list_on_request"] else inf
         self._ask_wait = 0.0
         self._now = self._by = 0.0
@@ -651,24 +652,25 @@
                 least.queued = False
                 self._finish(least)
         if dropped:
+            self._short = self._now
             self._waiting = [item for item in self._waiting if item[1] not in dropped]
 
     def _drain_waiting(self) -> None:
-        if not self._waiting:
+        """Sends what waits as far as there is room: by due time, or by value while not all can be in time."""
+        if not self._waiting or all(ring.out >= ring.limit for ring in self._rings):
             return
-        kept = []
-        for place, item in enumerate(self._waiting):
-            command = item[2]
-            if command.over:
-                continue
-            if not any(ring.out < ring.limit for ring in self._rings):
-                kept.extend(one for one in self._waiting[place:] if not one[2].over)
-                break
-            if self._send(command):
+        order = self._waiting
+        if self._now - self._short < RESOLVE:
+            order = sorted(order, key=lambda item: (-item[2].value, item[0], item[1]))
+        gone = set()
+        for _, number, command in order:
+            if command.over or self._send(command):
                 command.queued = False
-            else:
-                kept.append(item)
-        self._waiting = kept
+                gone.add(number)
+            elif all(ring.out >= ring.limit for ring in self._rings):
+                break
+        if gone:
+            self._waiting = [item for item in self._waiting if item[1] not in gone]
 
     # moments that come due
 
