--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -297,3 +297,12 @@
     host = Host(answer=lambda s, r: (Outcome.RESET, 0.05) if r[0] % 5 == 0 and not r[1] else HANDLED)
     host.run(8.0, 60)
     assert all(host.sent(s, host.now - 2.0) > 15 for s in range(4))
+
+
+def test_a_client_that_leaves_more_time_makes_no_other_look_late():
+    host = Host(answer=lambda server, relay: (Outcome.HANDLED, 0.5))
+    host.ask(left=3.0)
+    host.step(0.1)
+    others = [host.ask(left=1.6) for _ in range(8)]
+    host.step(3.0)
+    assert all(host.final[n] == "handled" for n in others)
--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -285,7 +285,7 @@
         self._armed = inf
         self._next_beat = self._next_resolve = -inf
         self._copy_credit = self._repeat_credit = 1.0
-        self._longest_left = [0.0] * len(self._kinds)
+        self._usual_left = [0.0] * len(self._kinds)
         self._allowance = [one["quota"] / terms["nodes"] for one in terms["customers"]]
         self._handled = 0
         self._rate = 0.0  # commands handled a second
@@ -450,10 +450,7 @@
 
     def _arrived(self, number: int, kind: int, left: float, customer: int, repeated: bool) -> None:
         terms = self._kinds[kind]
-        full = self._longest_left[kind] = max(self._longest_left[kind], left)
-        elapsed = full - left  # a call that comes with less time than others has used some of it
-        if repeated and left < full:
-            elapsed = max(elapsed, terms["hard_stop"] - left)
+        elapsed = self._elapsed(kind, left, repeated)
         stop = self._now + left - 2 * self._tick
         target = min(stop, self._now + terms["target_time"] - elapsed)
         value = terms["utility"]
@@ -474,6 +471,22 @@
         if not self._send(command):
             self._hold(command)
 
+    def _elapsed(self, kind: int, left: float, repeated: bool) -> float:
+        """How much of its target time a command has used before it came here, as far as that shows.
+
+        A first try has used none, however much time its client leaves it: clients differ in that, and one
+        that leaves more than others must not make the others look late.
+        """
+        if not self._entry:
+            # a call from the tier above; its caller's time is told at some places only
+            longest = self._usual_left[kind] = max(self._usual_left[kind], left)
+            return longest - left
+        if not repeated:
+            self._usual_left[kind] = left
+            return 0.0
+        used = self._kinds[kind]["hard_stop"] - left
+        return used if left < (1.0 - MARGIN) * self._usual_left[kind] else 0.0
+
     def _spend(self, customer: int) -> float:
         """What a command of this customer is worth: less beyond the customer's share."""
         if self._allowance[customer] >= 1.0:
