--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -44,7 +44,7 @@
 IDLE_STEPS = 7  # how long a connection was idle, in doublings of half a second
 HASTE = 2.5  # usual latencies that a held command must have left when it starts
 SILENT = 3.0  # a server with a relay out for this multiple of the p95, nothing heard since, hangs
-OUTLIER = 4.0  # a server this multiple slower than the median server is left to trial relays
+OUTLIER = 3.0  # a server this multiple slower than the median server is left to trial relays
 FAILING = 0.3  # share of a server's answers that are errors
 RECALL = 0.97  # what is left of a remembered peak after a second without a higher one
 
