--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -1,7 +1,10 @@
 """One short story for each rule and each failure met."""
 
+from io import BytesIO
+
 from fakehost import EFFECTFUL, PURE, RECEIPTED, Host
 
+from wheatroute.benchlink.host import serve
 from wheatroute.decide import Idleness, Ring
 from wheatroute.interface import Event, Outcome, State
 
@@ -306,3 +309,12 @@
     others = [host.ask(left=1.6) for _ in range(8)]
     host.step(3.0)
     assert all(host.final[n] == "handled" for n in others)
+
+
+def test_the_link_says_plainly_what_is_malformed_and_answers_nothing(capsys):
+    for line, told in ((b"nope\n", "not JSON"), (b'{"now":1}\n', '"nodes"'), (b'{"nodes":[]}\n', '"now"')):
+        sink = BytesIO()
+        assert serve(BytesIO(b'{"now":1.0,"nodes":[]}\n' + line), sink) == 2
+        assert sink.getvalue() == b'{"nodes":[]}\n'
+        said = capsys.readouterr().err
+        assert said.startswith("line 2: ") and told in said and said.count("\n") == 1
