Each node keeps to a part of the servers of every model

Cause: at full size a node hears each server every ten seconds and never has two relays on one; the split followed speed by 0.28 (0.98 on the twin) and servers choked one after the other. With a part of eight, evenly laid over the tier, own latencies and the redraw speak again.

--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -14,7 +14,7 @@
 from bisect import bisect, insort
 from collections import deque
 from heapq import heappop, heappush
-from math import inf, log2, sqrt
+from math import ceil, inf, log2, sqrt
 from random import Random
 
 from wheatroute.interface import Effect, Entry, Event, Group, Outcome, Report, Round, State, Terms, Writer
@@ -28,6 +28,8 @@
 CLAMP_LOW, CLAMP_HIGH = 0.5, 2.0  # of the even share
 FAR_MORE = 1.5  # a draw on a server with this multiple of the mean in flight (and half a call) is redrawn
 REDRAWS = 4
+PARTNERS = 8.0  # a node keeps to so many servers, and more where a server would have fewer nodes than that
+TURN = (sqrt(5.0) - 1.0) / 2.0  # of the round of servers between the places of one node and the next
 COPY_SHARE = 0.1  # of the relays sent may be copies: twice the share that a p95 lets through
 REPEAT_SHARE = 0.1  # of the commands taken may be relayed again after a relay that may have run
 
@@ -279,6 +281,7 @@
         self._pace = Pace(len(self._kinds))
         self._idleness = Idleness()
         self._rings = [Ring(), Ring()]
+        self._on_trial: list[int] = []  # barred servers that this node would keep to
         self._commands: dict[int, Command] = {}
         self._waiting: list[tuple[float, int, Command]] = []  # by when they must start
         self._due: list[tuple[float, int, Command]] = []  # copy timers (number of relays > 0) and ends
@@ -356,16 +359,39 @@
         """Fractions inverse to smoothed latency, clamped around the even share, for each ring."""
         servers, here = self._servers, self._terms["zone"]
         priced = self._terms["crossing_price"] > 0
-        rings: tuple[list[int], list[int]] = ([], [])
+        rings: tuple[dict[int, list[int]], ...] = ({}, {})
         for server, ready in enumerate(servers.ready):
-            if ready and not servers.barred[server]:
-                rings[priced and servers.zone[server] != here].append(server)
-        for ring, members in zip(self._rings, rings, strict=True):
-            ring.servers = members
-            ring.out = sum(servers.held[server] for server in members)
-            self._solve_ring(ring)
-
-    def _solve_ring(self, ring: Ring) -> None:
+            if ready:
+                ring = rings[priced and servers.zone[server] != here]
+                ring.setdefault(servers.model[server], []).append(server)
+        self._on_trial = []
+        for ring, models in zip(self._rings, rings, strict=True):
+            ring.servers, standing = self._keep_to(models)
+            ring.out = sum(servers.held[server] for server in ring.servers)
+            self._solve_ring(ring, standing)
+
+    def _keep_to(self, models: dict[int, list[int]]) -> tuple[list[int], list[float]]:
+        """The servers of a ring that this node splits over, and for how many of its model each stands.
+
+        Guards against knowing too little: in a large tier a node that splits over all servers hears each
+        too seldom to tell the slow from the quick, and never has two relays on one. Each node keeps to a
+        part of every model, at a place of its own, so that all parts together cover the tier evenly.
+        """
+        servers, count = self._servers, sum(map(len, models.values()))
+        part = PARTNERS * max(1.0 / max(1, count), 1.0 / self._terms["nodes"])
+        place = self._terms["node"] * TURN % 1.0
+        members, standing = [], []
+        for like in models.values():
+            most, first, kept = ceil(part * len(like)), int(place * len(like)), []
+            for server in like[first:] + like[:first]:
+                if len(kept) == most:
+                    break
+                (self._on_trial if servers.barred[server] else kept).append(server)
+            members += kept
+            standing += [len(like) / len(kept)] * len(kept) if kept else []
+        return members, standing
+
+    def _solve_ring(self, ring: Ring, standing: list[float]) -> None:
         servers = self._servers
         heard = [servers.latency[s] for s in ring.servers if servers.latency[s]]
         mean = sum(heard) / len(heard) if heard else 1.0
@@ -375,8 +401,8 @@
             total = sum(wish)
             wish = [min(CLAMP_HIGH * even, max(CLAMP_LOW * even, one / total)) for one in wish]
         ring.bounds, ring.share, total = [], {}, 0.0
-        for server, one in zip(ring.servers, wish, strict=True):
-            one *= self._warmth(server)
+        for server, one, stands in zip(ring.servers, wish, standing, strict=True):
+            one *= self._warmth(server) * stands
             total += one
             ring.bounds.append(total)
             ring.share[server] = one
@@ -407,6 +433,11 @@
         if best < 0:
             fit = [s for s in ring.servers if self._may_go(command, s)]
             best = min(fit, key=lambda s: (servers.held[s] + 1) / ring.share[s], default=-1)
+        if best < 0 and command.servers:
+            # a repeat's group, or another way after a full server, may lie outside the part kept to
+            fit = [s for s, ready in enumerate(servers.ready)
+                   if ready and not servers.barred[s] and self._may_go(command, s)]
+            best = self._chance.choice(fit) if fit else -1
         return best
 
     def _may_go(self, command: Command, server: int) -> bool:
@@ -829,8 +860,8 @@
         servers = self._servers
         if self._kinds[command.kind]["effect"] != Effect.PURE or command.servers:
             return -1
-        for server, until in enumerate(servers.barred):
-            if until and until <= self._now and servers.ready[server] and not servers.trial[server]:
+        for server in self._on_trial:
+            if servers.barred[server] <= self._now and not servers.trial[server]:
                 if self._may_go(command, server):
                     servers.trial[server] = True
                     return server
