--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -35,6 +35,7 @@
 
 # Left open by the design.
 SMOOTHING = 0.2  # weight of the newest latency of a server
+PRIOR = 2.0  # latencies that a server's model stands for beside the server's own
 CROWDED = 0.9  # relays that stay out longer by this share of the shortest stay tell of servers full enough
 SPILL = 0.2  # the same while there are other servers farther off
 DOUBT = 2.0  # to which this many standard errors of the stay are added: uneven work makes it a rough figure
@@ -83,6 +84,8 @@
         self.cell: list[int] = []
         self.born: list[float] = []
         self.latency: list[float] = []  # smoothed, in multiples of the traffic type's mean; 0: not heard
+        self.weight: list[float] = []  # how many latencies stand behind it
+        self.noted: list[float] = []  # when the last of them came
         self.held: list[int] = []  # this node's relays out
         self.errors: list[float] = []  # smoothed share of errors
         self.heard: list[float] = []  # last answer that shows it works
@@ -107,18 +110,41 @@
             for numbers in (self.zone, self.model, self.cell, self.held, self.handled, self.misses,
                             self.spare):
                 numbers.append(0)
-            for figures in (self.born, self.latency, self.errors, self.barred, self.penalty, self.credit,
-                            self.full, self.carried, self.no_new, self.wait_new):
+            for figures in (self.born, self.latency, self.weight, self.noted, self.errors, self.barred,
+                            self.penalty, self.credit, self.full, self.carried, self.no_new, self.wait_new):
                 figures.append(0.0)
             self.heard.append(-inf)
             self.used.append(-inf)
             self.trial.append(False)
             self.out.append({})
 
+    def recent(self, server: int, now: float) -> float:
+        """What is left of a server's latencies by now."""
+        return 1.0 / (1.0 + (now - self.noted[server]) / WINDOW)
+
+    def expected(self, members: list[int], now: float) -> list[float]:
+        """The latency of each: its own, leaning on its model's and all members' while little is heard.
+
+        Guards against a split that takes minutes to tell a slow model from a quick one, or that shuns a
+        server for long for one heavy command.
+        """
+        heard: dict[int, list[float]] = {}  # by model: weight, weighted sum
+        weights = [self.weight[s] * self.recent(s, now) for s in members]
+        for s, weight in zip(members, weights, strict=True):
+            model = heard.setdefault(self.model[s], [0.0, 0.0])
+            model[0] += weight
+            model[1] += weight * self.latency[s]
+        count, total = (sum(column) for column in zip(*heard.values(), strict=True)) if heard else (0.0, 0.0)
+        mean = total / count if count else 1.0
+        means = {model: (PRIOR * mean + total) / (PRIOR + count) for model, (count, total) in heard.items()}
+        return [(PRIOR * means[self.model[s]] + weight * self.latency[s]) / (PRIOR + weight)
+                for s, weight in zip(members, weights, strict=True)]
+
     def forget(self, server: int, born: float) -> None:
         """A process that started anew has nothing in common with the one before."""
         self.born[server] = born
-        self.latency[server] = self.errors[server] = self.barred[server] = self.penalty[server] = 0.0
+        self.latency[server] = self.weight[server] = self.errors[server] = 0.0
+        self.barred[server] = self.penalty[server] = 0.0
         self.trial[server] = False
 
 
@@ -393,9 +419,7 @@
 
     def _solve_ring(self, ring: Ring, standing: list[float]) -> None:
         servers = self._servers
-        heard = [servers.latency[s] for s in ring.servers if servers.latency[s]]
-        mean = sum(heard) / len(heard) if heard else 1.0
-        wish = [1.0 / (servers.latency[s] or mean) for s in ring.servers]
+        wish = [1.0 / one for one in servers.expected(ring.servers, self._now)]
         even = 1.0 / max(1, len(wish))
         for _ in range(3):
             total = sum(wish)
@@ -831,8 +855,11 @@
                 self._bar(server)
 
     def _note(self, server: int, share: float) -> None:
-        old = self._servers.latency[server]
-        self._servers.latency[server] = old + (share - old) * SMOOTHING if old else share
+        """Smooths a latency in; what was heard long ago counts for less than what was heard just now."""
+        servers = self._servers
+        kept = servers.weight[server] * min(1.0 - SMOOTHING, servers.recent(server, self._now))
+        servers.weight[server], servers.noted[server] = kept + 1.0, self._now
+        servers.latency[server] += (share - servers.latency[server]) / (kept + 1.0)
 
     def _apart(self, figures: list[float], server: int) -> bool:
         """Whether a server stands out: where half of the tier is as bad, it is the tier's trouble."""
