--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -408,13 +408,11 @@
         place = self._terms["node"] * TURN % 1.0
         members, standing = [], []
         for like in models.values():
-            most, first, kept = ceil(part * len(like)), int(place * len(like)), []
-            for server in like[first:] + like[:first]:
-                if len(kept) == most:
-                    break
-                (self._on_trial if servers.barred[server] else kept).append(server)
-            members += kept
-            standing += [len(like) / len(kept)] * len(kept) if kept else []
+            most, first = min(len(like), ceil(part * len(like))), int(place * len(like))
+            kept = (like[first:] + like[:first])[:most]
+            self._on_trial += [server for server in kept if servers.barred[server]]
+            members += [server for server in kept if not servers.barred[server]]
+            standing += [len(like) / most] * (len(members) - len(standing))
         return members, standing
 
     def _solve_ring(self, ring: Ring, standing: list[float]) -> None:
@@ -869,9 +867,8 @@
 
     def _bar_few(self, server: int) -> None:
         """Bars a server unless half of them are: what most suffer is the tier's trouble, not a server's."""
-        servers = self._servers
-        barred = sum(1 for until, fit in zip(servers.barred, servers.ready, strict=True) if until and fit)
-        if 2 * (barred + 1) <= sum(servers.ready):
+        barred = len(self._on_trial)
+        if 2 * (barred + 1) <= barred + sum(len(ring.servers) for ring in self._rings):
             self._bar(server)
 
     def _bar(self, server: int) -> None:
