--- a/wheatroute/benchlink/words.py
+++ b/wheatroute/benchlink/words.py
@@ -85,6 +85,7 @@
     """
     out = {name: _dig(info, path, default) for name, (path, default) in TERMS.items()}
     out["zone"] = zones.get(info.get("zone", ""), 0)
+    out["zones"] = max(1, len(info.get("dcs") or []))
     out["tiers"] = len(info.get("tiers") or [None])
     out["list_on_request"] = info.get("membership-mode") == "on_request"
     out["reported"] = [FIGURES.get(name, name) for name in _dig(info, "report.fields", [])]
--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -249,15 +249,17 @@
         self.servers: list[int] = []
         self.bounds: list[float] = []  # running sum of the split
         self.share: dict[int, float] = {}
+        self.fair = 0.0  # servers here for each node that sends to them
         self.out = 0
         self.handled = 0  # since the last beat
         self.level = 0.0  # relays out, smoothed
         self.rate = 0.0  # relays handled a second, smoothed alike
         self.peak = 0.0  # highest rate of late
         self.best = 0.0  # shortest stay of late
-        self.limit = inf  # relays this node may have out here
+        self.limit = inf  # relays this node may have out here, in fractions
+        self.room = 0  # the limit as a whole number, by chance up or down
 
-    def beat(self, step: float, fair: float, spread: float, longer: float) -> None:
+    def beat(self, step: float, fair: float, spread: float, longer: float, chance: Random) -> None:
         """Follows how long relays stay out: what is out over what gets handled a second.
 
         Unlike the latency of those that came back, it also speaks of those that did not.
@@ -265,6 +267,8 @@
         if self.limit == inf:
             # nothing is known at the start, when a node may wake up in the middle of a rush
             self.limit = START * fair
+        # guards against many nodes that each round up what they may have out
+        self.room = int(self.limit + chance.random())
         rate = self.handled / step
         self.handled = 0
         weight = min(0.25, max(step / WINDOW, self.rate * step / SAMPLES))
@@ -279,9 +283,9 @@
         else:
             self.best += (stay - self.best) * step / (10 * WINDOW)
         crowded = 1.0 + longer + DOUBT * spread / sqrt(self.rate * step / weight)
-        self._adapt(stay / self.best / crowded, max(FLOOR * fair, BUSY * self.best * self.peak))
+        self._adapt(stay / self.best / crowded, max(FLOOR * fair, BUSY * self.best * self.peak), fair)
 
-    def _adapt(self, crowding: float, floor: float) -> None:
+    def _adapt(self, crowding: float, floor: float, fair: float) -> None:
         """Keeps what is out where relays stay little longer than the shortest stay.
 
         Guards against servers that turn slow for long once too much waits in them: what they cannot take
@@ -292,7 +296,8 @@
         if crowding > 1.0:
             self.limit = max(floor, min(self.limit, self.out) * max(0.8, 1.0 / crowding))
         elif self.out > 0.7 * self.limit:
-            self.limit = max(floor, self.limit + max(0.5, GROWTH * (1.0 - crowding) * self.limit))
+            growth = max(0.5 * min(1.0, fair), GROWTH * (1.0 - crowding) * self.limit)
+            self.limit = max(floor, self.limit + growth)
 
 
 class Balancer:
@@ -383,8 +388,8 @@
 
     def _solve(self) -> None:
         """Fractions inverse to smoothed latency, clamped around the even share, for each ring."""
-        servers, here = self._servers, self._terms["zone"]
-        priced = self._terms["crossing_price"] > 0
+        servers, terms = self._servers, self._terms
+        here, priced = terms["zone"], terms["crossing_price"] > 0
         rings: tuple[dict[int, list[int]], ...] = ({}, {})
         for server, ready in enumerate(servers.ready):
             if ready:
@@ -394,6 +399,9 @@
         for ring, models in zip(self._rings, rings, strict=True):
             ring.servers, standing = self._keep_to(models)
             ring.out = sum(servers.held[server] for server in ring.servers)
+            # a node's fair share of them: with those of its building, or for servers far off with all
+            peers = terms["nodes"] / (terms["zones"] if ring is self._rings[0] and priced else 1)
+            ring.fair = sum(map(len, models.values())) / max(1.0, peers)
             self._solve_ring(ring, standing)
 
     def _keep_to(self, models: dict[int, list[int]]) -> tuple[list[int], list[float]]:
@@ -552,7 +560,7 @@
         server = self._trial_for(command)
         if server < 0:
             for ring in self._rings:
-                if ring.out < ring.limit:
+                if ring.out < ring.room:
                     server = self._draw(ring, command)
                     if server >= 0:
                         break
@@ -723,7 +731,7 @@
 
     def _drain_waiting(self) -> None:
         """Sends what waits as far as there is room: by due time, or by value while not all can be in time."""
-        if not self._waiting or all(ring.out >= ring.limit for ring in self._rings):
+        if not self._waiting or all(ring.out >= ring.room for ring in self._rings):
             return
         order = self._waiting
         if self._now - self._short < RESOLVE:
@@ -733,7 +741,7 @@
             if command.over or self._send(command):
                 command.queued = False
                 gone.add(number)
-            elif all(ring.out >= ring.limit for ring in self._rings):
+            elif all(ring.out >= ring.room for ring in self._rings):
                 break
         if gone:
             self._waiting = [item for item in self._waiting if item[1] not in gone]
@@ -764,7 +772,7 @@
         if pace.all_slow or self._copy_credit < 1.0 or self._now >= command.target:
             return
         for ring in self._rings:
-            if ring.out < ring.limit:
+            if ring.out < ring.room:
                 server = self._draw(ring, command)
                 if server >= 0:
                     command.copied = True
@@ -923,7 +931,6 @@
             self._idleness.resolve()
         if not stalled:
             self._watch_silence()
-        servers = self._servers
         self._refill(step)
         # the wait that a server's own crowd adds is thinned out by the calls it makes to the tiers below
         depth = max(1, terms["tiers"] - terms["tier"])
@@ -931,8 +938,7 @@
         for ring in self._rings:
             # calls go far off early, what they cost there is small; they are kept waiting or bounced late
             longer = (SPILL if ring is near and far.servers else CROWDED) / depth
-            # a node's fair share of the tier; of the servers far off as much, should those at hand not do
-            ring.beat(step, max(1.0, sum(servers.ready) / terms["nodes"]), pace.spread, longer)
+            ring.beat(step, ring.fair, pace.spread, longer, self._chance)
         self._solve()
         self._sort_out()
 
