--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -267,8 +267,9 @@
         if self.limit == inf:
             # nothing is known at the start, when a node may wake up in the middle of a rush
             self.limit = START * fair
-        # guards against many nodes that each round up what they may have out
-        self.room = int(self.limit + chance.random())
+        # guards against many nodes that each round up what they may have out; a node with a small part of
+        # the traffic meets its commands in clusters, and needs room for the deviation of their number
+        self.room = int(self.limit + sqrt(self.limit) * min(1.0, 1.0 / fair) + chance.random())
         rate = self.handled / step
         self.handled = 0
         weight = min(0.25, max(step / WINDOW, self.rate * step / SAMPLES))
@@ -400,8 +401,8 @@
             ring.servers, standing = self._keep_to(models)
             ring.out = sum(servers.held[server] for server in ring.servers)
             # a node's fair share of them: with those of its building, or for servers far off with all
-            peers = terms["nodes"] / (terms["zones"] if ring is self._rings[0] and priced else 1)
-            ring.fair = sum(map(len, models.values())) / max(1.0, peers)
+            peers = max(1.0, terms["nodes"] / (terms["zones"] if ring is self._rings[0] and priced else 1))
+            ring.fair = max(1, sum(map(len, models.values()))) / peers
             self._solve_ring(ring, standing)
 
     def _keep_to(self, models: dict[int, list[int]]) -> tuple[list[int], list[float]]:
