--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -41,7 +41,7 @@
 DOUBT = 2.0  # to which this many standard errors of the stay are added: uneven work makes it a rough figure
 ALL_SLOW = 1.5  # no copies while the last second's median is this multiple of the window's
 GROWTH = 0.2  # the limit's growth a beat while it binds, times how far relays are from staying long
-START = 4.0  # relays a node may have out at first, in shares of a server for each node of the tier
+START = 8.0  # relays a node may have out at first, in shares of a server for each node; half near, half far
 FLOOR = 4.0  # and at the least, alike
 BUSY = 1.0  # nor less than this multiple of what the highest rate holds at the shortest stay
 IDLE_STEPS = 7  # how long a connection was idle, in doublings of half a second
@@ -259,14 +259,15 @@
         self.limit = inf  # relays this node may have out here, in fractions
         self.room = 0  # the limit as a whole number, by chance up or down
 
-    def beat(self, step: float, fair: float, spread: float, longer: float, chance: Random) -> None:
+    def beat(self, step: float, fair: float, start: float, spread: float, longer: float,
+             chance: Random) -> None:
         """Follows how long relays stay out: what is out over what gets handled a second.
 
         Unlike the latency of those that came back, it also speaks of those that did not.
         """
         if self.limit == inf:
             # nothing is known at the start, when a node may wake up in the middle of a rush
-            self.limit = START * fair
+            self.limit = start * fair
         # guards against many nodes that each round up what they may have out; a node with a small part of
         # the traffic meets its commands in clusters, and needs room for the deviation of their number
         self.room = int(self.limit + sqrt(self.limit) * min(1.0, 1.0 / fair) + chance.random())
@@ -939,7 +940,7 @@
         for ring in self._rings:
             # calls go far off early, what they cost there is small; they are kept waiting or bounced late
             longer = (SPILL if ring is near and far.servers else CROWDED) / depth
-            ring.beat(step, ring.fair, pace.spread, longer, self._chance)
+            ring.beat(step, ring.fair, START / (2 if far.servers else 1), pace.spread, longer, self._chance)
         self._solve()
         self._sort_out()
 
