--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -41,7 +41,8 @@
 DOUBT = 2.0  # to which this many standard errors of the stay are added: uneven work makes it a rough figure
 ALL_SLOW = 1.5  # no copies while the last second's median is this multiple of the window's
 GROWTH = 0.2  # the limit's growth a beat while it binds, times how far relays are from staying long
-START = 8.0  # relays a node may have out at first, in shares of a server for each node; half near, half far
+START = 4.0  # relays a node may have out at first, in shares of a server for each node; twice that where they
+# also wait for tiers below, half where there are servers near and far
 FLOOR = 4.0  # and at the least, alike
 BUSY = 1.0  # nor less than this multiple of what the highest rate holds at the shortest stay
 IDLE_STEPS = 7  # how long a connection was idle, in doublings of half a second
@@ -427,7 +428,12 @@
 
     def _solve_ring(self, ring: Ring, standing: list[float]) -> None:
         servers = self._servers
-        wish = [1.0 / one for one in servers.expected(ring.servers, self._now)]
+        expected = servers.expected(ring.servers, self._now)
+        # guards against slow servers kept too busy where most of a latency is spent in the tiers below, which
+        # are the same for all: each tier is taken to have an equal part of the shortest
+        depth = self._terms["tiers"] - self._terms["tier"]
+        below = (1.0 - 1.0 / depth) * min(expected, default=0.0)
+        wish = [1.0 / (one - below) for one in expected]
         even = 1.0 / max(1, len(wish))
         for _ in range(3):
             total = sum(wish)
@@ -937,10 +943,11 @@
         # the wait that a server's own crowd adds is thinned out by the calls it makes to the tiers below
         depth = max(1, terms["tiers"] - terms["tier"])
         near, far = self._rings
+        start = START * (2 if depth > 1 else 1) / (2 if far.servers else 1)
         for ring in self._rings:
             # calls go far off early, what they cost there is small; they are kept waiting or bounced late
             longer = (SPILL if ring is near and far.servers else CROWDED) / depth
-            ring.beat(step, ring.fair, START / (2 if far.servers else 1), pace.spread, longer, self._chance)
+            ring.beat(step, ring.fair, start, pace.spread, longer, self._chance)
         self._solve()
         self._sort_out()
 
