--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -41,8 +41,7 @@
 DOUBT = 2.0  # to which this many standard errors of the stay are added: uneven work makes it a rough figure
 ALL_SLOW = 1.5  # no copies while the last second's median is this multiple of the window's
 GROWTH = 0.2  # the limit's growth a beat while it binds, times how far relays are from staying long
-START = 4.0  # relays a node may have out at first, in shares of a server for each node; twice that where they
-# also wait for tiers below, half where there are servers near and far
+START = 4.0  # relays a node may have out at first, in shares of a server for each node of the tier
 FLOOR = 4.0  # and at the least, alike
 BUSY = 1.0  # nor less than this multiple of what the highest rate holds at the shortest stay
 IDLE_STEPS = 7  # how long a connection was idle, in doublings of half a second
@@ -266,12 +265,13 @@
 
         Unlike the latency of those that came back, it also speaks of those that did not.
         """
+        part = min(1.0, 1.0 / fair)
         if self.limit == inf:
             # nothing is known at the start, when a node may wake up in the middle of a rush
-            self.limit = start * fair
+            self.limit = start * fair * (1.0 + part)
         # guards against many nodes that each round up what they may have out; a node with a small part of
         # the traffic meets its commands in clusters, and needs room for the deviation of their number
-        self.room = int(self.limit + sqrt(self.limit) * min(1.0, 1.0 / fair) + chance.random())
+        self.room = int(self.limit + sqrt(self.limit) * part + chance.random())
         rate = self.handled / step
         self.handled = 0
         weight = min(0.25, max(step / WINDOW, self.rate * step / SAMPLES))
@@ -943,11 +943,10 @@
         # the wait that a server's own crowd adds is thinned out by the calls it makes to the tiers below
         depth = max(1, terms["tiers"] - terms["tier"])
         near, far = self._rings
-        start = START * (2 if depth > 1 else 1) / (2 if far.servers else 1)
         for ring in self._rings:
             # calls go far off early, what they cost there is small; they are kept waiting or bounced late
             longer = (SPILL if ring is near and far.servers else CROWDED) / depth
-            ring.beat(step, ring.fair, start, pace.spread, longer, self._chance)
+            ring.beat(step, ring.fair, START / (2 if far.servers else 1), pace.spread, longer, self._chance)
         self._solve()
         self._sort_out()
 
