The limit is at most twice what full speed holds; room for deviation only while the mean is low

Cause: past the start the limit grew without end where work is uneven, and one deviation above it for good let all nodes together hold 13 calls a server.

--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -44,6 +44,7 @@
 START = 4.0  # relays a node may have out at first, in shares of a server for each node of the tier
 FLOOR = 4.0  # and at the least, alike
 BUSY = 1.0  # nor less than this multiple of what the highest rate holds at the shortest stay
+MOST = 2.0  # nor, beyond its start, more than this multiple
 IDLE_STEPS = 7  # how long a connection was idle, in doublings of half a second
 HASTE = 2.5  # usual latencies that a held command must have left when it starts
 SILENT = 3.0  # a server with a relay out for this multiple of the p95, nothing heard since, hangs
@@ -266,12 +267,15 @@
         Unlike the latency of those that came back, it also speaks of those that did not.
         """
         part = min(1.0, 1.0 / fair)
+        start *= fair * (1.0 + part)
         if self.limit == inf:
             # nothing is known at the start, when a node may wake up in the middle of a rush
-            self.limit = start * fair * (1.0 + part)
+            self.limit = start
         # guards against many nodes that each round up what they may have out; a node with a small part of
-        # the traffic meets its commands in clusters, and needs room for the deviation of their number
-        self.room = int(self.limit + sqrt(self.limit) * part + chance.random())
+        # the traffic meets its commands in clusters, and needs room for the deviation of their number, but
+        # not for good: were the mean of what is out near the limit, all nodes together would be far above
+        spare = max(0.0, 1.0 - self.level / self.limit)
+        self.room = int(self.limit + 2.0 * spare * sqrt(self.limit) * part + chance.random())
         rate = self.handled / step
         self.handled = 0
         weight = min(0.25, max(step / WINDOW, self.rate * step / SAMPLES))
@@ -286,7 +290,9 @@
         else:
             self.best += (stay - self.best) * step / (10 * WINDOW)
         crowded = 1.0 + longer + DOUBT * spread / sqrt(self.rate * step / weight)
-        self._adapt(stay / self.best / crowded, max(FLOOR * fair, BUSY * self.best * self.peak), fair)
+        full = self.best * self.peak
+        self._adapt(stay / self.best / crowded, max(FLOOR * fair, BUSY * full), fair)
+        self.limit = min(self.limit, max(start, MOST * full))
 
     def _adapt(self, crowding: float, floor: float, fair: float) -> None:
         """Keeps what is out where relays stay little longer than the shortest stay.
