A customer's share may be saved up over a window, so that many nodes can tell who is within it

Cause: the share held one second of quota over nodes, under one command for small customers on large fleets: all theirs counted as beyond it.

--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -329,7 +329,9 @@
         self._next_beat = self._next_resolve = -inf
         self._copy_credit = self._repeat_credit = 1.0
         self._usual_left = [0.0] * len(self._kinds)
-        self._allowance = [one["quota"] / terms["nodes"] for one in terms["customers"]]
+        # guards against nodes so many that none ever sees a share used: it may be saved up over a window
+        self._quota = [one["quota"] / terms["nodes"] for one in terms["customers"]]
+        self._allowance = [self._saved(quota) for quota in self._quota]
         self._handled = 0
         self._rate = 0.0  # commands handled a second
         self._short = -inf  # when room last ran short of what had to be in time
@@ -562,6 +564,10 @@
         used = self._kinds[kind]["hard_stop"] - left
         return used if left < (1.0 - MARGIN) * self._usual_left[kind] else 0.0
 
+    @staticmethod
+    def _saved(quota: float) -> float:
+        return max(SAMPLES / 2 if quota else 0.0, quota * WINDOW)
+
     def _spend(self, customer: int) -> float:
         """What a command of this customer is worth: less beyond the customer's share."""
         if self._allowance[customer] >= 1.0:
@@ -936,9 +942,8 @@
         pace.beat(now)
         self._rate += (self._handled / step - self._rate) * SMOOTHING if self._rate else self._handled / step
         self._handled = 0
-        for i, one in enumerate(terms["customers"]):
-            quota = one["quota"] / terms["nodes"]
-            self._allowance[i] = min(quota, self._allowance[i] + quota * step)
+        for i, quota in enumerate(self._quota):
+            self._allowance[i] = min(self._saved(quota), self._allowance[i] + quota * step)
         if now >= self._next_resolve:
             self._next_resolve = now + RESOLVE
             pace.resolve(now)
