Commands beyond a customer's share use half of the room; draws heed reported crowds

The first: a few commands of share may be saved up, a bounced one gives its part back, and what is beyond only goes out while half of the room is free. The second: a draw on a server whose report holds far more than the mean is redrawn.

--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -45,6 +45,7 @@
 FLOOR = 4.0  # and at the least, alike
 BUSY = 1.0  # nor less than this multiple of what the highest rate holds at the shortest stay
 MOST = 2.0  # nor, beyond its start, more than this multiple
+BEYOND = 0.5  # of the room is open to commands beyond their customer's share
 IDLE_STEPS = 7  # how long a connection was idle, in doublings of half a second
 HASTE = 2.5  # usual latencies that a held command must have left when it starts
 SILENT = 3.0  # a server with a relay out for this multiple of the p95, nothing heard since, hangs
@@ -57,8 +58,7 @@
     """One command: its times, and the account of its relays that rules one and two are kept by."""
 
     __slots__ = ("number", "kind", "taken", "target", "give_up", "value", "servers", "sent", "out", "may",
-                 "group", "since", "over", "copied", "queued", "idle",
-                 "opened")
+                 "group", "since", "over", "copied", "queued", "idle", "opened", "share", "part")
 
     def __init__(self, number: int, kind: int, taken: float, target: float, give_up: float,
                  value: float) -> None:
@@ -73,6 +73,7 @@
         self.group = -1  # the first relay that may have run decides where repeats may go
         self.since = inf  # and from when its repeat window counts
         self.over = self.copied = self.queued = False
+        self.share = -1  # the customer whose share it used
 
 
 class Servers:
@@ -88,6 +89,8 @@
         self.weight: list[float] = []  # how many latencies stand behind it
         self.noted: list[float] = []  # when the last of them came
         self.held: list[int] = []  # this node's relays out
+        self.told: list[float] = []  # commands of all nodes that it holds, as its last report has it
+        self.told_at: list[float] = []
         self.errors: list[float] = []  # smoothed share of errors
         self.heard: list[float] = []  # last answer that shows it works
         self.used: list[float] = []  # last answer: since then its connection is idle
@@ -111,8 +114,9 @@
             for numbers in (self.zone, self.model, self.cell, self.held, self.handled, self.misses,
                             self.spare):
                 numbers.append(0)
-            for figures in (self.born, self.latency, self.weight, self.noted, self.errors, self.barred,
-                            self.penalty, self.credit, self.full, self.carried, self.no_new, self.wait_new):
+            for figures in (self.born, self.latency, self.weight, self.noted, self.told, self.told_at,
+                            self.errors, self.barred, self.penalty, self.credit, self.full, self.carried,
+                            self.no_new, self.wait_new):
                 figures.append(0.0)
             self.heard.append(-inf)
             self.used.append(-inf)
@@ -144,7 +148,7 @@
     def forget(self, server: int, born: float) -> None:
         """A process that started anew has nothing in common with the one before."""
         self.born[server] = born
-        self.latency[server] = self.weight[server] = self.errors[server] = 0.0
+        self.latency[server] = self.weight[server] = self.errors[server] = self.told[server] = 0.0
         self.barred[server] = self.penalty[server] = 0.0
         self.trial[server] = False
 
@@ -250,6 +254,7 @@
         self.servers: list[int] = []
         self.bounds: list[float] = []  # running sum of the split
         self.share: dict[int, float] = {}
+        self.told = 0.0  # commands that a server here holds in the mean, by recent reports
         self.fair = 0.0  # servers here for each node that sends to them
         self.out = 0
         self.handled = 0  # since the last beat
@@ -329,9 +334,9 @@
         self._next_beat = self._next_resolve = -inf
         self._copy_credit = self._repeat_credit = 1.0
         self._usual_left = [0.0] * len(self._kinds)
-        # guards against nodes so many that none ever sees a share used: it may be saved up over a window
+        # guards against nodes so many that none ever sees a share used: a few commands may be saved up
         self._quota = [one["quota"] / terms["nodes"] for one in terms["customers"]]
-        self._allowance = [self._saved(quota) for quota in self._quota]
+        self._allowance = [self._saved(quota) / 2 for quota in self._quota]
         self._handled = 0
         self._rate = 0.0  # commands handled a second
         self._short = -inf  # when room last ran short of what had to be in time
@@ -446,6 +451,8 @@
         for _ in range(3):
             total = sum(wish)
             wish = [min(CLAMP_HIGH * even, max(CLAMP_LOW * even, one / total)) for one in wish]
+        told = [servers.told[s] for s in ring.servers if self._now - servers.told_at[s] < WINDOW]
+        ring.told = sum(told) / len(told) if told else 0.0
         ring.bounds, ring.share, total = [], {}, 0.0
         for server, one, stands in zip(ring.servers, wish, standing, strict=True):
             one *= self._warmth(server) * stands
@@ -471,7 +478,7 @@
             server = ring.servers[min(len(bounds) - 1, bisect(bounds, self._chance.random() * bounds[-1]))]
             if not self._may_go(command, server):
                 continue
-            if servers.held[server] < far:
+            if servers.held[server] < far and not self._crowded(ring, server):
                 return server
             load = (servers.held[server] + 1) / ring.share[server]
             if load < least:
@@ -486,6 +493,27 @@
             best = self._chance.choice(fit) if fit else -1
         return best
 
+    def _crowded(self, ring: Ring, server: int) -> bool:
+        """Whether a server's report says that it holds far more than the mean; an old report says little.
+
+        Guards against crowds of other nodes' commands, which this node's own calls do not show.
+        """
+        servers, far = self._servers, FAR_MORE * ring.told + 1.0
+        if servers.told[server] <= far:
+            return False
+        age = self._now - servers.told_at[server]
+        return ring.told + (servers.told[server] - ring.told) / (1.0 + age / RESOLVE) > far
+
+    def _heed(self, server: int, report: Report, took: float) -> None:
+        """What a server holds: as reported, or its commands a second times how long this one was out."""
+        servers = self._servers
+        held = report.get("held")
+        if held is None and "rate" in report:
+            held = report["rate"] * took
+        if held is not None:
+            servers.told[server] = held
+            servers.told_at[server] = self._now
+
     def _may_go(self, command: Command, server: int) -> bool:
         """Rule two's group and window, rule four's credit, and no server twice for a command."""
         if server in command.servers or self._servers.full[server] > self._now:
@@ -533,12 +561,14 @@
         value = terms["utility"]
         if not self._terms["work_counts"]:
             value /= self._pace.mean[kind] or 1.0
-        if self._entry and customer >= 0:
-            value *= self._spend(customer)
+        share = self._spend(customer) if self._entry else customer
+        if share != customer:
+            value *= self._terms["excess_utility"]
         if target <= self._now:
             value *= terms["late_utility"]
         give_up = stop if terms["late_utility"] or not self._entry else max(target, self._now)
         command = Command(number, kind, self._now, target, give_up, value)
+        command.share, command.part = share, 1.0 if share == customer else BEYOND
         self._commands[number] = command
         self._repeat_credit = min(self._repeat_credit + REPEAT_SHARE, 1.0 + REPEAT_SHARE * SAMPLES * 2)
         if give_up <= self._now:
@@ -566,21 +596,21 @@
 
     @staticmethod
     def _saved(quota: float) -> float:
-        return max(SAMPLES / 2 if quota else 0.0, quota * WINDOW)
+        return max(SAMPLES / 4 if quota else 0.0, 2.0 * quota * RESOLVE)
 
-    def _spend(self, customer: int) -> float:
-        """What a command of this customer is worth: less beyond the customer's share."""
-        if self._allowance[customer] >= 1.0:
-            self._allowance[customer] -= 1.0
-            return 1.0
-        return self._terms["excess_utility"]
+    def _spend(self, customer: int) -> int:
+        """The customer whose share a command uses; -1 for none, as beyond the share."""
+        if customer < 0 or self._allowance[customer] < 1.0:
+            return -1
+        self._allowance[customer] -= 1.0
+        return customer
 
     def _send(self, command: Command) -> bool:
         """One relay by the split, if some ring has room."""
         server = self._trial_for(command)
         if server < 0:
             for ring in self._rings:
-                if ring.out < ring.room:
+                if ring.out < ring.room * command.part:
                     server = self._draw(ring, command)
                     if server >= 0:
                         break
@@ -648,6 +678,8 @@
         ring = self._ring_of(server)
         ring.out -= server in ring.share
         servers.out[server].pop((number, n), None)
+        if report and outcome == Outcome.HANDLED:
+            self._heed(server, report, took)
         self._learn(command, server, outcome, took)
         self._learn_idleness(command, n, server, outcome, took)
         self._learn_connections(command.opened[n], server, outcome)
@@ -685,6 +717,8 @@
 
     def _finish(self, command: Command) -> None:
         """Rule one: the final answer of a command that no server has given one for."""
+        if command.share >= 0 and not command.servers:
+            self._allowance[command.share] += 1.0  # its client may send it again
         if self._may_bounce(command):
             self._writer.bounce(command.number, self._stay_away(command))
         else:
