--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -41,7 +41,7 @@
 DOUBT = 2.0  # to which this many standard errors of the stay are added: uneven work makes it a rough figure
 ALL_SLOW = 1.5  # no copies while the last second's median is this multiple of the window's
 GROWTH = 0.2  # the limit's growth a beat while it binds, times how far relays are from staying long
-START = 4.0  # relays a node may have out at first, in shares of a server for each node of the tier
+START = 2.5  # relays a node may have out at first, in shares of a server for each node of the tier
 FLOOR = 4.0  # and at the least, alike
 BUSY = 1.0  # nor less than this multiple of what the highest rate holds at the shortest stay
 MOST = 2.0  # nor, beyond its start, more than this multiple
@@ -991,7 +991,7 @@
         for ring in self._rings:
             # calls go far off early, what they cost there is small; they are kept waiting or bounced late
             longer = (SPILL if ring is near and far.servers else CROWDED) / depth
-            ring.beat(step, ring.fair, START / (2 if far.servers else 1), pace.spread, longer, self._chance)
+            ring.beat(step, ring.fair, START, pace.spread, longer, self._chance)
         self._solve()
         self._sort_out()
 
