--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -207,6 +207,21 @@
     assert handled[1] > 1.3 * handled[0]
 
 
+def test_a_command_whose_client_left_while_nothing_had_room_is_not_answered_too():
+    for seed in range(8):
+        host = Host(servers=40, nodes=200, seed=seed,
+                    answer=lambda server, relay: HANDLED if relay[0] < 20 else NEVER)
+        host.run(2.0, 10).step(0.5)
+        numbers = [host.ask(EFFECTFUL) for _ in range(20)]
+        host.step(0.01)
+        held = [number for number in numbers if not host.relays[number] and number not in host.final]
+        assert held
+        for number in held:
+            host.events.append((Event.LEFT, number))
+            host.final[number] = "left"
+        host.step(3.0)  # the host asserts that there is one final answer
+
+
 def test_a_shared_slowness_does_not_close_the_limit_below_what_keeps_servers_at_work():
     ring = Ring()
     for _ in range(80):
--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -41,7 +41,7 @@
 DOUBT = 2.0  # to which this many standard errors of the stay are added: uneven work makes it a rough figure
 ALL_SLOW = 1.5  # no copies while the last second's median is this multiple of the window's
 GROWTH = 0.2  # the limit's growth a beat while it binds, times how far relays are from staying long
-START = 2.5  # relays a node may have out at first, in shares of a server for each node of the tier
+START = 3.0  # relays a node may have out at first, in shares of a server for each node of the tier
 FLOOR = 4.0  # and at the least, alike
 BUSY = 1.0  # nor less than this multiple of what the highest rate holds at the shortest stay
 MOST = 2.0  # nor, beyond its start, more than this multiple
@@ -768,6 +768,8 @@
             return
         mean = self._pace.mean
         usual = sum(mean) / len(mean) or 1.0
+        # guards against a second answer: one that ran out of time while nothing had room still stands here
+        self._waiting = [item for item in self._waiting if not item[2].over]
         ahead, fit, dropped = 0.0, [], set()
         for start_by, number, command in self._waiting:
             work = (mean[command.kind] or usual) / usual / self._rate
