--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -1029,20 +1029,23 @@
     def _refill(self, step: float) -> None:
         """Rule four: what this node may send to a cold server, from what its like carry when warm.
 
-        Half of the stated multiple: what peers carry is less than what they can, and chance wants room.
+        Half of the stated multiple: what peers carry is less than what they can, and chance wants room. Only
+        servers that this node keeps to have credit, and are its measure: else a new one would get a fraction
+        of what it can do until, its cold time over, all nodes came at once.
         """
         servers, terms = self._servers, self._terms
         carried: dict[int, list[float]] = {}
-        for server, ready in enumerate(servers.ready):
+        kept_to = self._on_trial + [server for ring in self._rings for server in ring.servers]
+        for server in kept_to:
             rate = servers.handled[server] / step
             servers.handled[server] = 0
             servers.carried[server] += (rate - servers.carried[server]) * SMOOTHING * BEAT
-            if ready and not servers.barred[server] and self._warmth(server) >= 1.0:
+            if self._warmth(server) >= 1.0 and not servers.barred[server]:
                 carried.setdefault(servers.model[server], []).append(servers.carried[server])
         everywhere = [rate for rates in carried.values() for rate in rates]
-        for server, ready in enumerate(servers.ready):
+        for server in kept_to:
             warmth = self._warmth(server)
-            if ready and warmth < 1.0:
+            if warmth < 1.0:
                 like = carried.get(servers.model[server]) or everywhere or [max(servers.carried, default=0.0)]
                 rate = terms["fall_multiple"] / 2 * warmth * sum(like) / len(like)
                 most = max(1.0, rate * terms["fall_span"] / 2)
