Relays long out count in the split, bars last longer among many nodes, the room shrinks with what is barred

Now a relay that is out for longer than expected counts in the split; slow is judged by the same figure; trials come the rarer the more nodes share a server; a withdrawn trial counts as failed.

--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -14,6 +14,7 @@
 from bisect import bisect, insort
 from collections import deque
 from heapq import heappop, heappush
+from itertools import takewhile
 from math import ceil, inf, log2, sqrt
 from random import Random
 
@@ -110,16 +111,14 @@
     def extend(self, count: int) -> None:
         """Makes room for numbers below count."""
         for _ in range(count - len(self.ready)):
-            self.ready.append(False)
-            for numbers in (self.zone, self.model, self.cell, self.held, self.handled, self.misses,
-                            self.spare):
-                numbers.append(0)
-            for figures in (self.born, self.latency, self.weight, self.noted, self.told, self.told_at,
-                            self.errors, self.barred, self.penalty, self.credit, self.full, self.carried,
-                            self.no_new, self.wait_new):
-                figures.append(0.0)
+            for figures in (self.zone, self.model, self.cell, self.held, self.handled, self.misses,
+                            self.spare, self.born, self.latency, self.weight, self.noted, self.told,
+                            self.told_at, self.errors, self.barred, self.penalty, self.credit, self.full,
+                            self.carried, self.no_new, self.wait_new):
+                figures.append(0)
             self.heard.append(-inf)
             self.used.append(-inf)
+            self.ready.append(False)
             self.trial.append(False)
             self.out.append({})
 
@@ -127,23 +126,28 @@
         """What is left of a server's latencies by now."""
         return 1.0 / (1.0 + (now - self.noted[server]) / WINDOW)
 
-    def expected(self, members: list[int], now: float) -> list[float]:
+    def expected(self, members: list[int], now: float, usual: float) -> list[float]:
         """The latency of each: its own, leaning on its model's and all members' while little is heard.
 
         Guards against a split that takes minutes to tell a slow model from a quick one, or that shuns a
-        server for long for one heavy command.
+        server for long for one heavy command; and, as a relay still out counts once it is out for longer
+        than that, against one that learns of a jam only when its commands run out of time.
         """
-        heard: dict[int, list[float]] = {}  # by model: weight, weighted sum
-        weights = [self.weight[s] * self.recent(s, now) for s in members]
-        for s, weight in zip(members, weights, strict=True):
-            model = heard.setdefault(self.model[s], [0.0, 0.0])
-            model[0] += weight
-            model[1] += weight * self.latency[s]
-        count, total = (sum(column) for column in zip(*heard.values(), strict=True)) if heard else (0.0, 0.0)
-        mean = total / count if count else 1.0
-        means = {model: (PRIOR * mean + total) / (PRIOR + count) for model, (count, total) in heard.items()}
-        return [(PRIOR * means[self.model[s]] + weight * self.latency[s]) / (PRIOR + weight)
-                for s, weight in zip(members, weights, strict=True)]
+        own, heard = [], {}  # by server, and by model: weight, weighted sum
+        for s in members:
+            weight = self.weight[s] * self.recent(s, now)
+            total = weight * self.latency[s]
+            age = (now - next(iter(self.out[s].values()))) / usual if self.out[s] and usual else 0.0
+            if age * (PRIOR + weight) > PRIOR + total:
+                weight, total = weight + 1.0, total + age
+            own.append((weight, total))
+            count, mass = heard.get(self.model[s], (0.0, 0.0))
+            heard[self.model[s]] = (count + weight, mass + total)
+        count, mass = (sum(column) for column in zip((0.0, 0.0), *heard.values(), strict=True))
+        mean = (PRIOR + mass) / (PRIOR + count)
+        means = {model: (PRIOR * mean + mass) / (PRIOR + count) for model, (count, mass) in heard.items()}
+        return [(PRIOR * means[self.model[s]] + total) / (PRIOR + weight)
+                for s, (weight, total) in zip(members, own, strict=True)]
 
     def forget(self, server: int, born: float) -> None:
         """A process that started anew has nothing in common with the one before."""
@@ -178,12 +182,9 @@
         return share
 
     def beat(self, now: float) -> None:
-        late = [share for when, _, share in self._since(now - RESOLVE)]
-        if len(late) >= SAMPLES // 4:
-            late.sort()
-            self.latest = late[len(late) // 2]
-        else:
-            self.latest = 0.0
+        late = takewhile(lambda sample: sample[0] >= now - RESOLVE, reversed(self.samples))
+        shares = sorted(share for _, _, share in late)
+        self.latest = shares[len(shares) // 2] if len(shares) >= SAMPLES // 4 else 0.0
 
     def resolve(self, now: float) -> None:
         while self.samples and self.samples[0][0] < now - WINDOW:
@@ -199,14 +200,6 @@
         mean = sum(shares) / count
         self.spread = sqrt(sum((share - mean) ** 2 for share in shares) / count) / mean if mean else 1.0
 
-    def _since(self, moment: float) -> list[tuple[float, float, float]]:
-        out = []
-        for sample in reversed(self.samples):
-            if sample[0] < moment:
-                break
-            out.append(sample)
-        return out
-
     @property
     def all_slow(self) -> bool:
         """Guards against copies when the whole tier slows: the lagging p95 would then send them all."""
@@ -254,8 +247,10 @@
         self.servers: list[int] = []
         self.bounds: list[float] = []  # running sum of the split
         self.share: dict[int, float] = {}
+        self.slow: list[int] = []
+        self.open = 1.0  # share of the servers kept to that is not barred
         self.told = 0.0  # commands that a server here holds in the mean, by recent reports
-        self.fair = 0.0  # servers here for each node that sends to them
+        self.fair = 1.0  # servers here for each node that sends to them
         self.out = 0
         self.handled = 0  # since the last beat
         self.level = 0.0  # relays out, smoothed
@@ -279,8 +274,10 @@
         # guards against many nodes that each round up what they may have out; a node with a small part of
         # the traffic meets its commands in clusters, and needs room for the deviation of their number, but
         # not for good: were the mean of what is out near the limit, all nodes together would be far above
-        spare = max(0.0, 1.0 - self.level / self.limit)
-        self.room = int(self.limit + 2.0 * spare * sqrt(self.limit) * part + chance.random())
+        # And what barred servers would hold is not heaped on the others
+        limit = self.limit * self.open
+        spare = max(0.0, 1.0 - self.level / limit)
+        self.room = int(limit + 2.0 * spare * sqrt(limit) * part + chance.random())
         rate = self.handled / step
         self.handled = 0
         weight = min(0.25, max(step / WINDOW, self.rate * step / SAMPLES))
@@ -413,7 +410,10 @@
                 ring.setdefault(servers.model[server], []).append(server)
         self._on_trial = []
         for ring, models in zip(self._rings, rings, strict=True):
+            barred = len(self._on_trial)
             ring.servers, standing = self._keep_to(models)
+            barred = len(self._on_trial) - barred
+            ring.open = max(1, len(ring.servers)) / max(1, len(ring.servers) + barred)
             ring.out = sum(servers.held[server] for server in ring.servers)
             # a node's fair share of them: with those of its building, or for servers far off with all
             peers = max(1.0, terms["nodes"] / (terms["zones"] if ring is self._rings[0] and priced else 1))
@@ -441,7 +441,10 @@
 
     def _solve_ring(self, ring: Ring, standing: list[float]) -> None:
         servers = self._servers
-        expected = servers.expected(ring.servers, self._now)
+        expected = servers.expected(ring.servers, self._now, sum(self._pace.mean) / len(self._pace.mean))
+        # guards against a server too slow for half the even share: it is left to trial relays
+        usual = sorted(expected)[len(expected) // 2] if expected else 1.0
+        ring.slow = [s for s, one in zip(ring.servers, expected, strict=True) if one > OUTLIER * usual]
         # guards against slow servers kept too busy where most of a latency is spent in the tiers below, which
         # are the same for all: each tier is taken to have an equal part of the shortest
         depth = self._terms["tiers"] - self._terms["tier"]
@@ -506,13 +509,8 @@
 
     def _heed(self, server: int, report: Report, took: float) -> None:
         """What a server holds: as reported, or its commands a second times how long this one was out."""
-        servers = self._servers
-        held = report.get("held")
-        if held is None and "rate" in report:
-            held = report["rate"] * took
-        if held is not None:
-            servers.told[server] = held
-            servers.told_at[server] = self._now
+        held = report.get("held", report.get("rate", 0.0) * took)
+        self._servers.told[server], self._servers.told_at[server] = held, self._now
 
     def _may_go(self, command: Command, server: int) -> bool:
         """Rule two's group and window, rule four's credit, and no server twice for a command."""
@@ -867,8 +865,8 @@
             share = took / (self._pace.mean[command.kind] or took or 1.0)
             if share > servers.latency[server] > 0.0:
                 self._note(server, share)
-                self._fail_trial(server)
-            servers.trial[server] = False
+                servers.misses[server] += 1
+            self._fail_trial(server)
         elif outcome in (Outcome.ERROR, Outcome.UNKNOWN):
             servers.errors[server] += (1.0 - servers.errors[server]) * SMOOTHING
             self._fail_trial(server)
@@ -939,10 +937,18 @@
         servers = self._servers
         if servers.barred[server]:
             return
-        servers.penalty[server] = min(max(RESOLVE / 2, 2 * servers.penalty[server]), WINDOW / 2)
-        servers.barred[server] = self._now + servers.penalty[server]
+        self._prolong(server)
         self._solve()
 
+    def _prolong(self, server: int) -> None:
+        """Sets when a barred server is tried next, ever later.
+
+        Guards against trials of so many nodes that they alone keep a slow server from getting well.
+        """
+        servers, many = self._servers, max(1.0, 1.0 / self._ring_of(server).fair)
+        servers.penalty[server] = min(max(many * RESOLVE / 2, 2 * servers.penalty[server]), many * WINDOW / 2)
+        servers.barred[server] = self._now + servers.penalty[server]
+
     def _trial_for(self, command: Command) -> int:
         """A barred server whose time has come gets one pure command: the way back in."""
         servers = self._servers
@@ -966,8 +972,7 @@
         servers = self._servers
         if servers.barred[server] and servers.trial[server]:
             servers.trial[server] = False
-            servers.penalty[server] = min(2 * servers.penalty[server], WINDOW / 2)
-            servers.barred[server] = self._now + servers.penalty[server]
+            self._prolong(server)
 
     def _beat(self) -> None:
         now, pace, terms = self._now, self._pace, self._terms
@@ -1002,18 +1007,15 @@
         servers, patience = self._servers, SILENT * self._pace.p95
         if not self._pace.p95:
             return
+        # a relay is out for that long, or copies won over one after the other before it was
         silent = [s for s, out in enumerate(servers.out) if out and servers.ready[s]
-                  and self._now - next(iter(out.values())) > patience
-                  and servers.heard[s] < next(iter(out.values()))]
-        heard = sorted(one for one, fit in zip(servers.latency, servers.ready, strict=True) if fit and one)
-        usual = heard[len(heard) // 2] if heard else 1.0
-        slow = [s for s, fit in enumerate(servers.ready)
-                if fit and servers.latency[s] > OUTLIER * max(usual, 1.0)]
+                  and (self._now - max(next(iter(out.values())), servers.heard[s]) > patience
+                       or servers.misses[s] > 2 and self._now - servers.heard[s] > patience)]
         for server in silent:
             self._bar_few(server)
             if servers.barred[server]:
                 self._rescue(server, patience)
-        for server in slow:
+        for server in [server for ring in self._rings for server in ring.slow]:
             self._bar_few(server)
 
     def _rescue(self, server: int, patience: float) -> None:
