--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -290,7 +290,8 @@
         if not self.best or stay < self.best:
             self.best += (stay - self.best) * 0.25 if self.best else stay
         else:
-            self.best += (stay - self.best) * step / (10 * WINDOW)
+            # slowly: a jam of half a minute must not pass for the usual
+            self.best += (stay - self.best) * step / (30 * WINDOW)
         crowded = 1.0 + longer + DOUBT * spread / sqrt(self.rate * step / weight)
         full = self.best * self.peak
         self._adapt(stay / self.best / crowded, max(FLOOR * fair, BUSY * full), fair)
