--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -226,10 +226,10 @@
     ring = Ring()
     for _ in range(80):
         ring.out, ring.handled = 20, 50
-        ring.beat(0.25, 4.0, 4.0, 0.3, 0.4, Random(1))
+        ring.beat(0.25, 4.0, 1.0, 0.3, 0.4, Random(1))
     for _ in range(40):
         ring.out, ring.handled = min(20, int(ring.limit)), 17
-        ring.beat(0.25, 4.0, 4.0, 0.3, 0.4, Random(1))
+        ring.beat(0.25, 4.0, 1.0, 0.3, 0.4, Random(1))
     assert ring.limit > 12  # 200 a second at 0.1 s held 20; a third of the speed lasts ten seconds
 
 
--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -260,21 +260,20 @@
         self.limit = inf  # relays this node may have out here, in fractions
         self.room = 0  # the limit as a whole number, by chance up or down
 
-    def beat(self, step: float, fair: float, start: float, spread: float, longer: float,
+    def beat(self, step: float, fair: float, begin: float, spread: float, longer: float,
              chance: Random) -> None:
         """Follows how long relays stay out: what is out over what gets handled a second.
 
         Unlike the latency of those that came back, it also speaks of those that did not.
         """
         part = min(1.0, 1.0 / fair)
-        start *= fair * (1.0 + part)
+        start = START * fair * (1.0 + part)
         if self.limit == inf:
             # nothing is known at the start, when a node may wake up in the middle of a rush
-            self.limit = start
+            self.limit = start * begin
         # guards against many nodes that each round up what they may have out; a node with a small part of
         # the traffic meets its commands in clusters, and needs room for the deviation of their number, but
-        # not for good: were the mean of what is out near the limit, all nodes together would be far above
-        # And what barred servers would hold is not heaped on the others
+        # not for good. And what barred servers would hold is not heaped on the others
         limit = self.limit * self.open
         spare = max(0.0, 1.0 - self.level / limit)
         self.room = int(limit + 2.0 * spare * sqrt(limit) * part + chance.random())
@@ -999,7 +998,9 @@
         for ring in self._rings:
             # calls go far off early, what they cost there is small; they are kept waiting or bounced late
             longer = (SPILL if ring is near and far.servers else CROWDED) / depth
-            ring.beat(step, ring.fair, START, pace.spread, longer, self._chance)
+            # at half where others can help out: a building may have more nodes than its even part
+            begin = 0.5 if ring is near and far.servers else 1.0
+            ring.beat(step, ring.fair, begin, pace.spread, longer, self._chance)
         self._solve()
         self._sort_out()
 
