--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -45,7 +45,7 @@
 START = 3.0  # relays a node may have out at first, in shares of a server for each node of the tier
 FLOOR = 4.0  # and at the least, alike
 BUSY = 1.0  # nor less than this multiple of what the highest rate holds at the shortest stay
-MOST = 1.3  # nor, beyond its start, more than this multiple
+MOST = 2.0  # nor, beyond its start, more than this multiple, and two thirds of it among many nodes
 BEYOND = 0.5  # of the room is open to commands beyond their customer's share
 IDLE_STEPS = 7  # how long a connection was idle, in doublings of half a second
 HASTE = 1.25  # usual latencies that a held command must have left when it starts
@@ -294,7 +294,7 @@
         crowded = 1.0 + longer + DOUBT * spread / sqrt(self.rate * step / weight)
         full = self.best * self.peak
         self._adapt(stay / self.best / crowded, max(FLOOR * fair, BUSY * full), fair)
-        self.limit = min(self.limit, max(start, MOST * full))
+        self.limit = min(self.limit, max(start, MOST * full / (1.0 + part / 2)))
 
     def _adapt(self, crowding: float, floor: float, fair: float) -> None:
         """Keeps what is out where relays stay little longer than the shortest stay.
