--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -26,11 +26,13 @@
 class Host:
     """Servers are numbered; `answer(server, relay)` tells (outcome, took), or None for never."""
 
-    def __init__(self, servers=4, answer=None, seed=1, start=100.0, entries=None, **changes):
+    def __init__(self, servers=4, answer=None, seed=1, start=100.0, entries=None, report=None,
+                 **changes):
         self.terms = terms(**changes)
         self.balancer = Balancer(self.terms, random.Random(seed))
         self.now, self.answer = start, answer or (lambda server, relay: (Outcome.HANDLED, 0.1))
         self.events, self.pending, self.did = [], [], []
+        self.report = report or (lambda server: None)
         self.relays, self.out, self.final, self.arrivals = {}, set(), {}, 0
         self.list(entries or [self.entry(s) for s in range(servers)], True)
 
@@ -74,7 +76,8 @@
         finished = number in self.final or outcome == Outcome.HANDLED
         if outcome == Outcome.HANDLED:
             self.final.setdefault(number, "handled")
-        self.events.append((Event.RETURNED, number, n, server, outcome, took, finished, None))
+        self.events.append((Event.RETURNED, number, n, server, outcome, took, finished,
+                            self.report(server)))
 
     def sent(self, server, since=0.0):
         return sum(1 for what, when, *rest in self.did
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -89,6 +89,78 @@
     assert host.sent(0, host.now - 2.0) > 20
 
 
+def test_many_nodes_together_keep_the_budget_of_one_cold_server_and_use_it():
+    hosts = [Host(servers=12, nodes=30, node=i, seed=i).run(8.0, 4) for i in range(30)]
+    told = hosts[0].now
+    for host in hosts:
+        host.list([Host.entry(0, started=told)])
+        host.run(20.0, 4)
+    sent = sorted(when for host in hosts for what, when, *rest in host.did
+                  if what == "relay" and rest[1] == 0 and when >= told)
+    for first in range(len(sent)):
+        span = [when for when in sent[first:] if when < sent[first] + 3.0]
+        # 10 a second is what its peers carry; it can do a tenth of it and then ever more
+        assert len(span) < 3.0 * 10 * (0.1 + 0.9 * (sent[first] - told + 3.0) / 20) * 3.0
+    assert sum(when > told + 10.0 for when in sent) > 30
+
+
+def test_nodes_that_each_keep_to_a_part_cover_the_tier_evenly():
+    entries = [(s, 0, s % 3 > 0, s // 2, State.LIVE, 1.0, 0.0) for s in range(60)]
+    hosts = [Host(entries=entries, nodes=120, node=i).step() for i in range(120)]
+    parts = [host.balancer._rings[0] for host in hosts]
+    assert all(8 <= len(part.servers) <= 10 for part in parts)
+    got = [sum(part.share.get(s, 0.0) / part.bounds[-1] for part in parts) for s in range(60)]
+    assert 0.75 * 2.0 < min(got) and max(got) < 1.25 * 2.0
+
+
+def test_a_server_not_heard_is_expected_to_be_like_its_model():
+    entries = [(s, 0, s % 2, s, State.LIVE, 1.0, 0.0) for s in range(8)]
+    host = Host(entries=entries, answer=lambda s, r: (Outcome.HANDLED, 0.3 if s % 2 else 0.1))
+    host.run(0.5, 20).step(0.5)
+    host.list([(8 + s, 0, s % 2, 8 + s, State.LIVE, 1.0, 0.0) for s in range(2)])
+    host.step(0.005)
+    share = host.balancer._rings[0].share
+    assert share[8] > 1.4 * share[9]
+
+
+def test_a_relay_that_stays_out_counts_before_it_is_back():
+    host = Host(answer=lambda s, r: (Outcome.HANDLED, 0.29) if s == 0 and jam else HANDLED)
+    jam = False
+    host.run(4.0, 40)
+    jam = True
+    host.run(0.275, 40, kind=EFFECTFUL)  # too short for silence, none of them is back
+    share = host.balancer._rings[0].share
+    assert 0.0 < share[0] < 0.95 * share[1]
+
+
+def test_a_draw_heeds_what_a_server_reports_to_hold_of_other_nodes():
+    host = Host(answer=lambda s, r: HANDLED, report=lambda s: {"held": 30.0 if s == 0 else 3.0})
+    host.run(4.0, 20)
+    since = host.now
+    host.run(4.0, 20)
+    assert 0 < host.sent(0, since) < 0.5 * host.sent(1, since)  # an old report says ever less
+
+
+def test_a_small_customer_is_within_its_share_on_every_one_of_many_nodes():
+    quota = [{"portion": 0.9, "quota": 90.0}, {"portion": 0.1, "quota": 10.0}]
+    host = Host(nodes=100, customers=quota)
+    within = [host.balancer._spend(1) == 1]
+    for _ in range(4):
+        host.step(12.0)
+        within.append(host.balancer._spend(1) == 1)
+    greedy = [host.balancer._spend(1) == 1 for _ in range(20)]
+    assert all(within) and not any(greedy[-10:])
+
+
+def test_the_room_of_many_nodes_adds_up_to_little_for_each_server():
+    chance, rings = Random(1), [Ring() for _ in range(200)]
+    for ring in rings:
+        for _ in range(40):
+            ring.out, ring.handled = ring.room, 0 if ring.rate else 1
+            ring.beat(0.25, 50 / 200, 1.0, 0.5, 0.4, chance)
+    assert 2 * 50 < sum(ring.room for ring in rings) < 10 * 50
+
+
 def test_a_server_found_dead_counts_as_cold_when_it_is_back():
     down = [True]
     host = Host(answer=lambda s, r: (Outcome.UNCONNECTED, 0.01) if s == 0 and down[0] else HANDLED)
