Held commands that nothing can send are not tried one by one

Cause: commands beyond their share stay held while half of the room is taken, and each round tried every one of them; a ring without servers always counted as open.

--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -129,9 +129,8 @@
     def expected(self, members: list[int], now: float, usual: float) -> list[float]:
         """The latency of each: its own, leaning on its model's and all members' while little is heard.
 
-        Guards against a split that takes minutes to tell a slow model from a quick one, or that shuns a
-        server for long for one heavy command; and, as a relay still out counts once it is out for longer
-        than that, against one that learns of a jam only when its commands run out of time.
+        Guards against a split that tells a slow model late or shuns a server for one heavy command; and, as
+        a relay still out counts once it is out for longer, against learning of a jam by time-outs only.
         """
         own, heard = [], {}  # by server, and by model: weight, weighted sum
         for s in members:
@@ -277,10 +276,9 @@
         limit = self.limit * self.open
         spare = max(0.0, 1.0 - self.level / limit)
         self.room = int(limit + 2.0 * spare * sqrt(limit) * part + chance.random())
-        rate = self.handled / step
-        self.handled = 0
         weight = min(0.25, max(step / WINDOW, self.rate * step / SAMPLES))
-        self.rate += (rate - self.rate) * weight
+        self.rate += (self.handled / step - self.rate) * weight
+        self.handled = 0
         self.level += (self.out - self.level) * weight
         self.peak = max(self.rate, self.peak * RECALL ** step)
         if self.rate * WINDOW < SAMPLES or not self.level:
@@ -423,9 +421,8 @@
     def _keep_to(self, models: dict[int, list[int]]) -> tuple[list[int], list[float]]:
         """The servers of a ring that this node splits over, and for how many of its model each stands.
 
-        Guards against knowing too little: in a large tier a node that splits over all servers hears each
-        too seldom to tell the slow from the quick, and never has two relays on one. Each node keeps to a
-        part of every model, at a place of its own, so that all parts together cover the tier evenly.
+        Guards against hearing each server of a large tier too seldom to tell the slow from the quick: a node
+        keeps to a part of every model, at a place of its own, and all parts together cover the tier evenly.
         """
         servers, count = self._servers, sum(map(len, models.values()))
         part = PARTNERS * max(1.0 / max(1, count), 1.0 / self._terms["nodes"])
@@ -619,6 +616,11 @@
         self._relay(command, server)
         return True
 
+    def _shut(self, part: float = 1.0) -> bool:
+        """Whether no command that may use this part of the room can go out, not even for trial."""
+        rings = [ring for ring in self._rings if ring.servers]
+        return bool(rings) and not self._on_trial and all(ring.out >= ring.room * part for ring in rings)
+
     def _last_resort(self, command: Command) -> int:
         """Guards against barring everything: with no server left, the least laden barred one is tried."""
         servers = self._servers
@@ -639,8 +641,7 @@
         servers.out[server][command.number, n] = self._now
         servers.held[server] += 1
         servers.credit[server] -= 1.0
-        ring = self._ring_of(server)
-        ring.out += server in ring.share
+        self._ring_of(server).out += server in self._ring_of(server).share
         self._writer.relay(command.number, server, command.give_up - self._now)
         self._copy_credit = min(self._copy_credit + COPY_SHARE, 1.0 + COPY_SHARE * SAMPLES * 2)
         kind = self._kinds[command.kind]
@@ -673,8 +674,7 @@
         command.out.discard(n)
         servers = self._servers
         servers.held[server] -= 1
-        ring = self._ring_of(server)
-        ring.out -= server in ring.share
+        self._ring_of(server).out -= server in self._ring_of(server).share
         servers.out[server].pop((number, n), None)
         if report and outcome == Outcome.HANDLED:
             self._heed(server, report, took)
@@ -785,18 +785,20 @@
 
     def _drain_waiting(self) -> None:
         """Sends what waits as far as there is room: by due time, or by value while not all can be in time."""
-        if not self._waiting or all(ring.out >= ring.room for ring in self._rings):
+        if not self._waiting or self._shut():
             return
-        order = self._waiting
+        order, beyond = self._waiting, False
         if self._now - self._short < RESOLVE:
             order = sorted(order, key=lambda item: (-item[2].value, item[0], item[1]))
         gone = set()
         for _, number, command in order:
-            if command.over or self._send(command):
+            if command.over or not (beyond and command.part < 1.0) and self._send(command):
                 command.queued = False
                 gone.add(number)
-            elif all(ring.out >= ring.room for ring in self._rings):
+            elif self._shut():
                 break
+            else:
+                beyond = beyond or self._shut(BEYOND)
         if gone:
             self._waiting = [item for item in self._waiting if item[1] not in gone]
 
@@ -1006,9 +1008,7 @@
 
     def _watch_silence(self) -> None:
         """Guards against servers that take work and answer nothing, or answer far too late."""
-        servers, patience = self._servers, SILENT * self._pace.p95
-        if not self._pace.p95:
-            return
+        servers, patience = self._servers, SILENT * self._pace.p95 or inf
         # a relay is out for that long, or copies won over one after the other before it was
         silent = [s for s, out in enumerate(servers.out) if out and servers.ready[s]
                   and (self._now - max(next(iter(out.values())), servers.heard[s]) > patience
@@ -1033,9 +1033,8 @@
     def _refill(self, step: float) -> None:
         """Rule four: what this node may send to a cold server, from what its like carry when warm.
 
-        Half of the stated multiple: what peers carry is less than what they can, and chance wants room. Only
-        servers that this node keeps to have credit, and are its measure: else a new one would get a fraction
-        of what it can do until, its cold time over, all nodes came at once.
+        Half of the stated multiple: peers carry less than they can, and chance wants room. Only servers kept
+        to have credit and are the measure: else a new one starves until all nodes come at once.
         """
         servers, terms = self._servers, self._terms
         carried: dict[int, list[float]] = {}
