--- a/wheatroute/benchlink/instance.py
+++ b/wheatroute/benchlink/instance.py
@@ -4,27 +4,32 @@
 from collections import defaultdict
 from typing import Any
 
-from wheatroute.benchlink import words
+from wheatroute import words
 from wheatroute.decide import Balancer
 from wheatroute.interface import Event, Outcome, State
 
-
-class _Numbers(dict[str, int]):
-    """Gives each name it has not met the next number."""
-
-    def __missing__(self, name: str) -> int:
-        self[name] = number = len(self)
-        return number
+OUTCOMES = {
+    "done": Outcome.HANDLED,
+    "err": Outcome.ERROR,
+    "busy": Outcome.FULL,
+    "etimedout": Outcome.TIMED_OUT,
+    "econnrefused": Outcome.UNCONNECTED,
+    "econnreset": Outcome.RESET,
+    "ecanceled": Outcome.WITHDRAWN,
+    "skipped": Outcome.MOOT,
+}
+STATES = {"live": State.LIVE, "quiescing": State.DRAINING, "dead": State.GONE}
+REPEATED = 2
 
 
 class Instance:
     """Holds the numbering of one instance and is the writer of its decisions."""
 
     def __init__(self, seed: int, info: dict[str, Any]) -> None:
-        self._servers = _Numbers()
+        self._servers = words.Numbers()
         self._addresses: list[str] = []
-        self._zones = _Numbers({name: i for i, name in enumerate(info.get("dcs") or [])})
-        self._models = _Numbers({name: i for i, name in enumerate(info.get("skus") or [])})
+        self._zones = words.Numbers({name: i for i, name in enumerate(info.get("dcs") or [])})
+        self._models = words.Numbers({name: i for i, name in enumerate(info.get("skus") or [])})
         self._types = {kind["name"]: i for i, kind in enumerate(info.get("traffic-types") or [])}
         self._customers = {one["name"]: i for i, one in enumerate(info.get("tenants") or [])}
         self._numbers: dict[int | None, int] = {}
@@ -52,7 +57,7 @@
         self._taken += 1
         kind = self._types[message["band"]]
         customer = self._customers.get(message.get("client-group"), -1)
-        repeated = bool(message.get("attrs", 0) & words.REPEATED)
+        repeated = bool(message.get("attrs", 0) & REPEATED)
         self.events.append((Event.ARRIVED, number, kind, message.get("left", 0.0), customer, repeated))
 
     def returned(self, message: dict[str, Any]) -> None:
@@ -63,7 +68,7 @@
         self._out[number] -= 1
         if finished:
             self._over.add(number)
-        outcome = words.OUTCOMES.get(message["result"], Outcome.UNKNOWN)
+        outcome = OUTCOMES.get(message["result"], Outcome.UNKNOWN)
         self.events.append((Event.RETURNED, number, message.get("n", 0), self._server(message["server"]),
                             outcome, message.get("took", 0.0), finished, _report(message)))
         self._forget(number)
@@ -86,12 +91,12 @@
             return
         entries = [(self._server(one["server"]), self._zones[one.get("dc", "")],
                     self._models[one.get("model", "")], one.get("stripe", 0),
-                    words.STATES.get(one.get("status", "live"), State.DRAINING),
+                    STATES.get(one.get("status", "live"), State.DRAINING),
                     one.get("scale", 1.0), one.get("started-at", 0.0)) for one in hosts]
         self.events.append((Event.LISTED, entries, form != "patch"))
 
     def echo(self, message: dict[str, Any]) -> None:
-        outcome = words.OUTCOMES.get(message["result"], Outcome.UNKNOWN)
+        outcome = OUTCOMES.get(message["result"], Outcome.UNKNOWN)
         self.events.append((Event.SOUNDED, self._server(message["server"]), outcome,
                             message.get("took", 0.0), _report(message)))
 
--- /dev/null
+++ b/wheatroute/net/boot.py
@@ -0,0 +1,103 @@
+"""What a node is told at start: the environment and the JSON file that it names.
+
+Owns reading and checking it, and its translation to our names. It must never open a socket, and never go
+on with half of what a node needs: what is missing or malformed is a `BootError` of one plain line.
+"""
+
+import os
+from collections.abc import Mapping
+from typing import Any
+
+import orjson
+
+from wheatroute import words
+
+SPARE_DESCRIPTORS = 32  # for files, the listener, the list and the event loop
+SPARE_SHARE = 0.125  # the same where very few descriptors are allowed
+
+
+class BootError(Exception):
+    """What the node was told at start cannot be used."""
+
+
+def address(text: Any) -> tuple[str, int]:
+    """
+    >>> address("10.0.0.4:8443")
+    ('10.0.0.4', 8443)
+    >>> address("10.0.0.4")
+    Traceback (most recent call last):
+    ...
+    ValueError: no address:port in '10.0.0.4'
+    """
+    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not host or not colon or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
+        raise ValueError(f"no address:port in {text!r}")
+    return host, int(port)
+
+
+def read(environment: Mapping[str, str]) -> dict[str, Any]:
+    """All that the node was told, by name; the environment wins over the file."""
+    told = _file(environment.get("PROXY_CONFIG", ""))
+    settings = told.get("settings")
+    if not isinstance(settings, dict):
+        raise BootError("no object \"settings\" in the file that PROXY_CONFIG names")
+    boot: dict[str, Any] = {"settings": settings}
+    try:
+        boot["name"] = environment.get("PROXY_NAME") or told.get("name") or "node"
+        boot["listen"] = address(environment.get("PROXY_LISTEN") or told.get("listen"))
+        boot["discovery"] = address(environment.get("PROXY_DISCOVERY") or told.get("discovery"))
+    except ValueError as trouble:
+        raise BootError(f"where to listen or where the list is: {trouble}") from trouble
+    boot["seed"] = str(told.get("seed", ""))
+    boot["known"] = told.get("known") if isinstance(told.get("known"), dict) else {}
+    boot["descriptors"] = _descriptors(told.get("limits"))
+    boot["zones"] = _numbered(settings, "dcs")
+    boot["models"] = _numbered(settings, "skus")
+    boot["customers"] = {one["name"]: i for i, one in enumerate(_named(settings, "tenants"))}
+    kinds = _named(settings, "traffic-types")
+    if not kinds:
+        raise BootError("the settings hold no traffic types")
+    boot["traffic_types"] = {one["name"]: i for i, one in enumerate(kinds)}
+    try:
+        boot["terms"] = words.terms(settings, boot["zones"])
+    except (TypeError, ValueError, AttributeError) as trouble:
+        raise BootError(f"the settings are malformed: {trouble}") from trouble
+    return boot
+
+
+def _file(path: str) -> dict[str, Any]:
+    if not path:
+        raise BootError("PROXY_CONFIG is not set")
+    try:
+        with open(path, "rb") as source:
+            told = orjson.loads(source.read())
+    except OSError as trouble:
+        raise BootError(f"cannot read {path}: {os.strerror(trouble.errno or 0)}") from trouble
+    except orjson.JSONDecodeError as trouble:
+        raise BootError(f"{path} is not JSON: {trouble}") from trouble
+    if not isinstance(told, dict):
+        raise BootError(f"{path} does not hold an object")
+    return told
+
+
+def _named(settings: dict[str, Any], name: str) -> list[dict[str, Any]]:
+    found = settings.get(name) or []
+    if not isinstance(found, list) or not all(
+            isinstance(one, dict) and isinstance(one.get("name"), str) for one in found):
+        raise BootError(f"the settings' \"{name}\" is not a list of objects with names")
+    return found
+
+
+def _numbered(settings: dict[str, Any], name: str) -> words.Numbers:
+    found = settings.get(name) or []
+    if not isinstance(found, list) or not all(isinstance(one, str) for one in found):
+        raise BootError(f"the settings' \"{name}\" is not a list of names")
+    return words.Numbers({one: i for i, one in enumerate(found)})
+
+
+def _descriptors(limits: Any) -> int:
+    """How many connections the node may hold, a reserve taken off."""
+    most = limits.get("sockets") if isinstance(limits, dict) else None
+    if not isinstance(most, int) or most < 16:
+        raise BootError("no usable \"limits.sockets\"")
+    return most - min(SPARE_DESCRIPTORS, int(most * SPARE_SHARE) + 6)
--- /dev/null
+++ b/wheatroute/net/discovery.py
@@ -0,0 +1,168 @@
+"""The list of servers: what the node was told at start, then fetches and watches.
+
+Owns the connection to the list service, and the numbers of servers. It must never drop a good entry for a
+bad one beside it, nor judge a server: what the list says goes to the module as it came.
+"""
+
+import errno
+import socket
+from typing import Any
+
+import h11
+import orjson
+import trio
+
+from wheatroute.interface import Event, State
+from wheatroute.net.boot import address
+from wheatroute.net.connection import Connection, MalformedError
+from wheatroute.net.log import Reason, ended
+from wheatroute.net.rounds import Rounds
+from wheatroute.net.servers import Servers
+from wheatroute.words import Numbers
+
+PATH = b"/discovery/hosts"
+STATES = {"in_service": State.LIVE, "terminating": State.DRAINING, "terminated": State.GONE}
+WAIT = 20.0  # seconds that a watch waits for news; the protocol allows 60
+LATE = 2.0  # seconds after its wait in which a watch must answer, else the list service is down
+PATIENCE = 6.0  # the same for a fetch; both are what the protocol counts as told
+AGAIN = 0.1  # pause before another try, inside the 200 ms in which a watch goes on
+LONGEST_LIST = 1 << 24
+
+
+class Discovery:
+    """One node's view of the list service."""
+
+    def __init__(self, boot: dict[str, Any], rounds: Rounds, servers: Servers, log: Any) -> None:
+        self._place, self._rounds, self._servers, self._log = boot["discovery"], rounds, servers, log
+        self._zones, self._models, self._numbers = boot["zones"], boot["models"], Numbers()
+        self._version = -1
+        self.known = False
+        self._on_request = boot["terms"]["list_on_request"]
+        self._watch_scope: trio.CancelScope | None = None
+        self._nursery: trio.Nursery
+        self._take(boot["known"])
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as self._nursery:
+            if not self._on_request:
+                self.watch(True)
+            await trio.sleep_forever()
+
+    def watch(self, enable: bool) -> None:
+        if self._watch_scope is not None:
+            self._watch_scope.cancel()
+            self._watch_scope = None
+        if enable:
+            self._watch_scope = trio.CancelScope()
+            self._nursery.start_soon(self._watch, self._watch_scope)
+
+    def fetch(self) -> None:
+        self._nursery.start_soon(self._fetch)
+
+    async def _watch(self, scope: trio.CancelScope) -> None:
+        """Watches for as long as that works; where changes come unasked it also goes on after a failure."""
+        with scope:
+            while True:
+                await self._follow()
+                self._rounds.happened(Event.LIST_FAILED)
+                if self._on_request:
+                    return
+                await trio.sleep(AGAIN)
+
+    async def _follow(self) -> None:
+        """One connection with one watch after the other, until it fails."""
+        line, reason = None, Reason.TIMED_OUT
+        try:
+            with trio.move_on_after(LATE):
+                line = await self._connect()
+            while line is not None:
+                since = b"after=%d&wait_ms=%d" % (self._version, WAIT * 1000) if self._version >= 0 else b""
+                with trio.move_on_after(WAIT + LATE) as limit:
+                    self._take(await self._call(line, PATH + b"?" + since if since else PATH))
+                if limit.cancelled_caught:
+                    return
+        except (OSError, MalformedError):
+            reason = Reason.BROKEN
+        finally:
+            self._shut(line, reason)
+
+    async def _fetch(self) -> None:
+        line, reason, done = None, Reason.TIMED_OUT, False
+        try:
+            with trio.move_on_after(PATIENCE):
+                line = await self._connect()
+                self._take(await self._call(line, PATH))
+                done, reason = True, Reason.ASKED
+        except (OSError, MalformedError):
+            reason = Reason.BROKEN
+        finally:
+            self._shut(line, reason)
+        if not done:
+            self._rounds.happened(Event.LIST_FAILED)
+
+    async def _connect(self) -> Connection:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        try:
+            if sock.connect_ex(self._place) == errno.EINPROGRESS:
+                await trio.lowlevel.wait_writable(sock)
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                raise OSError(code, "the list service cannot be reached")
+            return Connection(sock, h11.CLIENT, f"{self._place[0]}:{self._place[1]}")
+        except BaseException:
+            sock.close()
+            raise
+
+    async def _call(self, line: Connection, target: bytes) -> Any:
+        host = b"%s:%d" % (self._place[0].encode(), self._place[1])
+        await line.send(h11.Request(method=b"GET", target=target, headers=[(b"Host", host)]))
+        head = await line.event()
+        while isinstance(head, h11.InformationalResponse):
+            head = await line.event()
+        if not isinstance(head, h11.Response) or head.status_code != 200:
+            raise MalformedError(0, "no list")
+        body = await line.body(LONGEST_LIST)
+        if not line.next_message():
+            raise MalformedError(0, "closed")
+        try:
+            return orjson.loads(body)
+        except orjson.JSONDecodeError as trouble:
+            raise MalformedError(0, "list is not JSON") from trouble
+
+    def _shut(self, line: Connection | None, reason: Reason) -> None:
+        if line is not None:
+            line.close()
+            ended(self._log, "list", line.peer, reason, line.since, line.messages)
+
+    # entries
+
+    def _take(self, told: Any) -> None:
+        """Hands a list or its changes to the module; what is malformed is left out."""
+        if not isinstance(told, dict) or not isinstance(told.get("servers"), list):
+            return
+        entries = []
+        for one in told["servers"]:
+            try:
+                entries.append(self._entry(one))
+            except (TypeError, ValueError, KeyError, AttributeError) as trouble:
+                self._log.warning("entry-skipped", entry=repr(one)[:120], trouble=str(trouble)[:120])
+        if isinstance(told.get("version"), int):
+            self._version = told["version"]
+        whole = bool(told.get("full", False))
+        self.known = self.known or whole
+        if entries or whole:
+            self._rounds.happened(Event.LISTED, entries, whole)
+
+    def _entry(self, one: dict[str, Any]) -> tuple[Any, ...]:
+        if not isinstance(one["id"], str):
+            raise ValueError("no id")
+        state = STATES.get(one.get("state", "in_service"), State.DRAINING)
+        size, cell = float(one.get("weight", 1.0)), int(one.get("cell", 0))
+        started = float(one.get("started_ms", 0)) / 1000.0
+        zone, model = str(one.get("zone", "")), str(one.get("kind", ""))
+        place = address(one["addr"]) if state != State.GONE or "addr" in one else None
+        server = self._numbers[one["id"]]
+        if place is not None:
+            self._servers.place(server, place)
+        return server, self._zones[zone], self._models[model], cell, state, size, started
--- /dev/null
+++ b/wheatroute/net/exchange.py
@@ -0,0 +1,65 @@
+"""One command between its two sides, their only meeting place.
+
+Owns what both sides know of a command: its message, its one final answer and its relays. The caller's side
+makes it and waits on it, the server's side answers it, neither holds a reference to the other. It must
+never hold two answers, and never sends, retries or waits itself.
+"""
+
+from typing import Any
+
+import trio
+
+
+class Answer:
+    """The final answer: handled with a server's body, bounced or terminated."""
+
+    __slots__ = ("status", "body", "kind", "stay_away")
+
+    def __init__(self, status: int, body: bytes = b"", kind: bytes = b"", stay_away: float = 0.0) -> None:
+        self.status, self.body, self.kind, self.stay_away = status, body, kind, stay_away
+
+
+BOUNCED, TERMINATED = 503, 502
+
+
+class Relay:
+    """One relay of a command: the scope it runs in, and whether it was called off."""
+
+    __slots__ = ("server", "n", "scope", "withdrawn", "sent")
+
+    def __init__(self, server: int, n: int, sent: float, time_out: float) -> None:
+        self.server, self.n, self.sent = server, n, sent
+        self.scope = trio.CancelScope(deadline=trio.current_time() + time_out)
+        self.withdrawn = False
+
+
+class Exchange:
+    """One command."""
+
+    __slots__ = ("number", "kind", "left", "customer", "repeated", "method", "target", "name", "receipt",
+                 "body", "hard_stop", "over", "answer", "relays", "out", "waiting")
+
+    def __init__(self, method: bytes, target: bytes, name: bytes, receipt: bytes, body: bytes) -> None:
+        self.method, self.target, self.name, self.receipt, self.body = method, target, name, receipt, body
+        self.number = -1
+        self.kind, self.left, self.customer, self.repeated = 0, 0.0, -1, False
+        self.hard_stop = 0.0  # on the rounds' clock
+        self.over = False
+        self.answer: Answer | None = None
+        self.relays: list[Relay] = []
+        self.out = 0  # relays without an outcome
+        self.waiting: Any = None  # the scope in which the caller's side waits
+
+    def settle(self, answer: Answer) -> bool:
+        """Takes the final answer unless the command is over; tells whether it was taken."""
+        if self.over:
+            return False
+        self.over, self.answer = True, answer
+        if self.waiting is not None:
+            self.waiting.cancel()
+        return True
+
+    def abandon(self) -> bool:
+        """The caller is gone: nothing more is owed; tells whether anything was."""
+        owed, self.over = not self.over, True
+        return owed
--- /dev/null
+++ b/wheatroute/net/log.py
@@ -0,0 +1,50 @@
+"""The node's log: one line for each connection that ends, a code for its reason, and few other lines.
+
+Owns the shape of the lines (logfmt on standard output) and the list of codes. It must never hold up the
+node: no line for a command, none on the ordinary path. `docs/oncall.md` explains each code and line.
+"""
+
+import sys
+import time
+from enum import StrEnum
+from typing import Any
+
+import structlog
+
+
+class Reason(StrEnum):
+    """Why a connection ended."""
+
+    CLOSED = "closed"  # the other side closed it between commands
+    ASKED = "asked"  # the other side asked for it with its last message
+    LEFT = "left"  # a caller hung up with its command out
+    MALFORMED = "malformed"  # what came is no HTTP or not what the protocol says
+    SLOW = "slow"  # part of a message and then silence
+    BROKEN = "broken"  # a reset or another error of the socket
+    REFUSED = "refused"  # a server refused the connection
+    UNREACHED = "unreached"  # a connection to a server never came up
+    WITHDRAWN = "withdrawn"  # the relay on it was called off
+    TIMED_OUT = "timed-out"  # the relay on it ran out of time
+    IDLE = "idle"  # idle for nearly as long as its server keeps it
+    ROOM = "room"  # shut to stay inside the descriptors
+    SHUT = "shut"  # the decisions, or a server's new address, asked for it
+    STOPPING = "stopping"  # the node stops
+    FAULT = "fault"  # a mistake of the node's own
+
+
+def open_log(name: str) -> Any:
+    """The node's logger; every line bears the node's name."""
+    structlog.configure(
+        processors=[structlog.processors.add_log_level,
+                    structlog.processors.TimeStamper(fmt="iso", utc=True),
+                    structlog.processors.format_exc_info,
+                    structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"])],
+        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
+        cache_logger_on_first_use=True)
+    return structlog.get_logger().bind(node=name)
+
+
+def ended(log: Any, side: str, peer: str, reason: Reason, since: float, messages: int) -> None:
+    """The one line of a connection: which side, with whom, why it ended, how long it was and carried what."""
+    log.info("connection", side=side, peer=peer, reason=reason.value,
+             seconds=round(time.monotonic() - since, 3), messages=messages)
--- /dev/null
+++ b/wheatroute/net/servers.py
@@ -0,0 +1,290 @@
+"""The servers' side: pools of connections, relays, probes, and what became of them.
+
+Owns every connection to a server. A relay goes out in one piece on the connection used last, or on a new
+one, and its outcome says whether it may have run: never before its last byte was written, always after.
+It must never send anything again by itself, nor send for a command that is over.
+"""
+
+import errno
+import socket
+import time
+from typing import Any
+
+import h11
+import trio
+
+from wheatroute import words
+from wheatroute.interface import Event, Outcome
+from wheatroute.net.connection import Connection, MalformedError
+from wheatroute.net.exchange import Answer, Exchange, Relay
+from wheatroute.net.log import Reason, ended
+from wheatroute.net.rounds import Rounds, now
+
+KEEP = 0.9  # of the time after which servers shut idle connections, so that none is used at its very end
+SWEEPS = 30.0  # looks at idle connections within that time
+_IN_PROGRESS = (errno.EINPROGRESS, errno.EWOULDBLOCK)
+
+
+class UnreachedError(Exception):
+    """A connection to a server could not be had."""
+
+    def __init__(self, reason: Reason) -> None:
+        super().__init__(reason.value)
+        self.reason = reason
+
+
+def report_of(text: str, log: Any = None) -> dict[str, float] | None:
+    """A load report under our names; what is malformed is left out.
+
+    >>> report_of("TEXT inflight=7, queue=2, util=0.61, novel=x")
+    {'held': 7.0, 'queued': 2.0, 'busy': 0.61}
+    """
+    found: dict[str, float] = {}
+    for part in text.removeprefix("TEXT ").split(","):
+        name, _, figure = part.strip().partition("=")
+        try:
+            value = float(figure)
+        except ValueError:
+            value = -1.0
+        if 0.0 <= value < float("inf"):
+            found[words.FIGURES.get(name, name)] = value
+        elif log is not None and text:
+            log.warning("report-skipped", part=part[:80])
+    return found or None
+
+
+class Servers:
+    """Where servers are, and the connections to them."""
+
+    def __init__(self, terms: dict[str, Any], most: int, rounds: Rounds, log: Any) -> None:
+        self._connect_within = terms["connect_within"] or float("inf")
+        self._idle_closed = terms["idle_closed"]
+        self._load_path = b"/metrics/load" if terms["report_how"] != "none" else b"/alive"
+        self._most, self._rounds, self._log = most, rounds, log
+        self._places: dict[int, tuple[str, int]] = {}
+        self._idle: dict[int, list[tuple[float, Connection]]] = {}  # by server, the last used at the end
+        self._open = 0
+        self._nursery: trio.Nursery
+
+    async def run(self) -> None:
+        """Holds the relays' tasks, and shuts connections that are idle for too long."""
+        pause = min(1.0, self._idle_closed / SWEEPS)
+        async with trio.open_nursery() as self._nursery:
+            while True:
+                await trio.sleep(pause)
+                self._sweep()
+
+    def place(self, server: int, place: tuple[str, int]) -> None:
+        """A server's address; where it has changed, what is open to the old one is of no more use."""
+        if self._places.get(server, place) != place:
+            self.shut_idle(server)
+        self._places[server] = place
+
+    # relays
+
+    def start(self, exchange: Exchange, relay: Relay) -> None:
+        self._nursery.start_soon(self._relay, exchange, relay)
+
+    async def _relay(self, exchange: Exchange, relay: Relay) -> None:
+        outcome, report = Outcome.WITHDRAWN, None
+        wire = _Wire()
+        try:
+            with relay.scope:
+                outcome, report = await self._play(exchange, relay, wire)
+            if relay.scope.cancelled_caught:
+                # never ran if it ran out of time before it was written whole
+                late = Outcome.TIMED_OUT if wire.whole else Outcome.MOOT
+                outcome = Outcome.WITHDRAWN if relay.withdrawn else late
+                wire.reason = Reason.WITHDRAWN if relay.withdrawn else Reason.TIMED_OUT
+        except Exception:
+            self._log.exception("fault")
+            outcome, wire.reason = Outcome.UNKNOWN if wire.whole else Outcome.UNCONNECTED, Reason.FAULT
+        self._drop(wire.line, wire.reason)  # before the module hears of it
+        self._rounds.returned(exchange, relay, outcome, report)
+
+    async def _play(self, exchange: Exchange, relay: Relay,
+                    wire: "_Wire") -> tuple[Outcome, dict[str, float] | None]:
+        """One relay up to its outcome; the connection stays in `wire` unless it can be used again."""
+        try:
+            wire.line = await self._connection(relay.server)
+        except UnreachedError:
+            return Outcome.UNCONNECTED, None
+        if exchange.over or relay.withdrawn:
+            # guards against a relay that goes out after the final answer, which came while it connected
+            self._keep(relay.server, wire)
+            return Outcome.MOOT, None
+        try:
+            await wire.line.send(self._request(exchange, relay), exchange.body)
+            status, headers, body = await self._answer(wire.line)
+        except OSError:
+            wire.reason = Reason.BROKEN
+            return Outcome.RESET if wire.whole else Outcome.UNCONNECTED, None
+        except MalformedError as trouble:
+            wire.reason = Reason.CLOSED if trouble.reason == "closed" else Reason.MALFORMED
+            return Outcome.RESET, None
+        outcome = _outcome(status, headers)
+        if outcome == Outcome.HANDLED:
+            exchange.settle(Answer(200, body, headers.get(b"content-type", b"")))
+        self._keep(relay.server, wire)
+        load = headers.get(b"server-load")
+        return outcome, report_of(load.decode("latin-1"), self._log) if load else None
+
+    def _request(self, exchange: Exchange, relay: Relay) -> h11.Request:
+        host, port = self._places[relay.server]
+        wait = max(1, int((relay.scope.deadline - trio.current_time()) * 1e6))
+        headers = [(b"Host", b"%s:%d" % (host.encode(), port)), (b"Request-Id", exchange.name),
+                   (b"Request-Timeout", b"%du" % wait)]
+        if exchange.receipt:
+            headers.append((b"Idempotency-Key", exchange.receipt))
+        if exchange.body or exchange.method != b"GET":
+            headers.append((b"Content-Length", b"%d" % len(exchange.body)))
+        return h11.Request(method=exchange.method, target=exchange.target, headers=headers)
+
+    @staticmethod
+    async def _answer(line: Connection) -> tuple[int, dict[bytes, bytes], bytes]:
+        """A whole answer; one that is cut off or malformed is none."""
+        while True:
+            head = await line.event()
+            if isinstance(head, h11.Response):
+                return head.status_code, dict(head.headers), await line.body()
+            if not isinstance(head, h11.InformationalResponse):
+                raise MalformedError(0, "closed")
+
+    # probes
+
+    def probe(self, server: int) -> None:
+        self._nursery.start_soon(self._probe, server)
+
+    async def _probe(self, server: int) -> None:
+        """The protocol names no time-out for a probe: it gets as long as a new connection twice over."""
+        sent, outcome, report, wire = now(), Outcome.TIMED_OUT, None, _Wire()
+        try:
+            with trio.move_on_after(2 * self._connect_within):
+                wire.line = await self._connection(server)
+                host, port = self._places[server]
+                place = b"%s:%d" % (host.encode(), port)
+                await wire.line.send(h11.Request(method=b"GET", target=self._load_path,
+                                                 headers=[(b"Host", place)]))
+                status, headers, body = await self._answer(wire.line)
+                outcome = Outcome.HANDLED if status == 200 else Outcome.ERROR
+                load = headers.get(b"server-load", body if self._load_path != b"/alive" else b"")
+                report = report_of(load.decode("latin-1"), self._log) if load else None
+                self._keep(server, wire)
+        except UnreachedError:
+            outcome = Outcome.UNCONNECTED
+        except (OSError, MalformedError):
+            outcome, wire.reason = Outcome.RESET, Reason.BROKEN
+        except Exception:
+            self._log.exception("fault")
+        self._drop(wire.line, wire.reason)
+        self._rounds.happened(Event.SOUNDED, server, outcome, now() - sent, report)
+
+    # connections
+
+    async def _connection(self, server: int) -> Connection:
+        """The connection to a server that was used last, or a new one."""
+        kept = self._idle.get(server)
+        while kept:
+            since, line = kept.pop()
+            if now() - since < KEEP * self._idle_closed and line.quiet():
+                return line
+            self._drop(line, Reason.IDLE if line.quiet() else Reason.CLOSED)
+        return await self._connect(server)
+
+    async def _connect(self, server: int) -> Connection:
+        if self._open >= self._most and not self._make_room():
+            raise UnreachedError(Reason.ROOM)
+        place, since = self._places[server], time.monotonic()
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        self._open += 1
+        reason = Reason.UNREACHED
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            code = sock.connect_ex(place)
+            if code in _IN_PROGRESS:
+                with trio.move_on_after(self._connect_within):
+                    await trio.lowlevel.wait_writable(sock)
+                    code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code == 0:
+                line = Connection(sock, h11.CLIENT, f"{place[0]}:{place[1]}")
+                reason = None
+                return line
+            reason = Reason.REFUSED if code == errno.ECONNREFUSED else Reason.UNREACHED
+            raise UnreachedError(reason)
+        except OSError as trouble:
+            raise UnreachedError(reason) from trouble
+        finally:
+            if reason is not None:
+                self._open -= 1
+                sock.close()
+                ended(self._log, "server", f"{place[0]}:{place[1]}", reason, since, 0)
+
+    def _keep(self, server: int, wire: "_Wire") -> None:
+        """Takes a connection back for the next relay if it can carry one."""
+        line = wire.line
+        if line is not None and (not line.messages or line.next_message()):
+            self._idle.setdefault(server, []).append((now(), line))
+            wire.line = None
+        else:
+            wire.reason = Reason.ASKED
+
+    def _drop(self, line: Connection | None, reason: Reason) -> None:
+        if line is not None:
+            self._open -= 1
+            line.close()
+            ended(self._log, "server", line.peer, reason, line.since, line.messages)
+
+    def shut_idle(self, server: int) -> None:
+        for _, line in self._idle.pop(server, []):
+            self._drop(line, Reason.SHUT)
+
+    def _sweep(self) -> None:
+        """Shuts what is idle for nearly too long, and what its server has shut already."""
+        oldest = now() - KEEP * self._idle_closed
+        for kept in self._idle.values():
+            for one in kept[:]:
+                if one[0] <= oldest or not one[1].quiet():
+                    kept.remove(one)
+                    self._drop(one[1], Reason.IDLE if one[0] <= oldest else Reason.CLOSED)
+
+    def _make_room(self) -> bool:
+        """Shuts the connection that is idle for longest, of any server."""
+        first = min((kept for kept in self._idle.values() if kept), key=lambda kept: kept[0][0], default=None)
+        if first is None:
+            return False
+        self._drop(first.pop(0)[1], Reason.ROOM)
+        return True
+
+    def shut_all(self) -> None:
+        for kept in self._idle.values():
+            for _, line in kept:
+                self._drop(line, Reason.STOPPING)
+        self._idle.clear()
+
+
+class _Wire:
+    """The connection of a relay while it is out, and why it ends if it must."""
+
+    __slots__ = ("line", "reason")
+
+    def __init__(self) -> None:
+        self.line: Connection | None = None
+        self.reason = Reason.BROKEN
+
+    @property
+    def whole(self) -> bool:
+        return self.line is not None and self.line.whole
+
+
+def _outcome(status: int, headers: dict[bytes, bytes]) -> Outcome:
+    """What an answer says; only one marked so proves that the relay never ran.
+
+    >>> _outcome(503, {b"not-started": b"1"}).name, _outcome(503, {}).name, _outcome(404, {}).name
+    ('FULL', 'ERROR', 'UNKNOWN')
+    """
+    if status == 200:
+        return Outcome.HANDLED
+    if status in (503, 504) and headers.get(b"not-started", b"").strip() == b"1":
+        return Outcome.FULL
+    return Outcome.ERROR if status >= 500 else Outcome.UNKNOWN
--- a/wheatroute/benchlink/words.py
+++ b/wheatroute/words.py
@@ -1,25 +1,32 @@
-"""The bench's words and ours."""
+"""The settings and numbering that the bench's link and the node on sockets share: their words and ours.
+
+Outcomes and states in the simulator's words stay with the link, those on the sockets with the node.
+"""
 
 from typing import Any
 
-from wheatroute.interface import Effect, Group, Outcome, State
-
-OUTCOMES = {
-    "done": Outcome.HANDLED,
-    "err": Outcome.ERROR,
-    "busy": Outcome.FULL,
-    "etimedout": Outcome.TIMED_OUT,
-    "econnrefused": Outcome.UNCONNECTED,
-    "econnreset": Outcome.RESET,
-    "ecanceled": Outcome.WITHDRAWN,
-    "skipped": Outcome.MOOT,
-}
-STATES = {"live": State.LIVE, "quiescing": State.DRAINING, "dead": State.GONE}
+from wheatroute.interface import Effect, Group
+
 EFFECTS = {"retryable": Effect.PURE, "dedup": Effect.RECEIPTED, "fragile": Effect.EFFECTFUL}
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+# what load reports tell: the simulator's names and those on the sockets, and ours
 FIGURES = {"active": "held", "waiting": "queued", "cpu": "busy", "avg_ms": "service_ms",
-           "rps": "rate", "err_rps": "error_rate"}
-REPEATED = 2
+           "rps": "rate", "err_rps": "error_rate",
+           "inflight": "held", "queue": "queued", "util": "busy", "latency_ms": "service_ms",
+           "qps": "rate", "eps": "error_rate"}
+
+
+class Numbers(dict[str, int]):
+    """Gives each name it has not met the next number.
+
+    >>> zones = Numbers(); zones["b"], zones["a"], zones["b"]
+    (0, 1, 0)
+    """
+
+    def __missing__(self, name: str) -> int:
+        self[name] = number = len(self)
+        return number
+
 
 # our name: (path on the wire, what stands in where it is absent)
 TERMS: dict[str, tuple[str, Any]] = {
