Stories for the node on sockets; commands overdue are ended before a round; fewer timers

Cause: a command ended as overdue after a round was let go of before the module heard of it, while its last relay's outcome stood before that in the next round's events and called for another relay. Now overdue commands are ended before the round, and only after the module's own end (hard stop plus the settings' answer slack).

Time that a command may have lain unread is taken off its time left (Passes).

--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -1,9 +1,18 @@
-"""A tiny host: hands the decisions their rounds and answers relays the way a test says."""
+"""A tiny host of the decisions, and a whole node on loopback; both are answered the way a test says."""
 
+import json
 import random
+import re
+import socket
+from contextlib import suppress
 
+import structlog
+import trio
+
+from wheatroute.__main__ import serve_node
 from wheatroute.decide import Balancer
 from wheatroute.interface import Effect, Event, Group, Outcome, State
+from wheatroute.net import boot
 
 PURE, RECEIPTED, EFFECTFUL = 0, 1, 2
 
@@ -130,3 +139,142 @@
 
     def log(self, text):
         self.did.append(("log", self.now, text))
+
+
+# a node on loopback, with servers and a list that answer the way a test says
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+FULL = b"HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
+ERROR = b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"
+RESET, SILENT = b"", None
+KINDS = {"view": "retryable", "amend": "dedup", "place": "fragile"}
+
+
+class Peer:
+    """One fake server; `answers` are given in turn, the last one for ever, each bytes, RESET or SILENT."""
+
+    def __init__(self, *answers, name="s"):
+        self.answers, self.name, self.got, self.lines, self.ended = list(answers), name, [], 0, trio.Event()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setblocking(False)
+        self.place = f"127.0.0.1:{self.listener.getsockname()[1]}"
+
+    async def run(self):
+        if self.listener.fileno() >= 0:  # else it is a dead one: connections are refused
+            listener = trio.SocketListener(trio.socket.from_stdlib_socket(self.listener))
+            await trio.serve_listeners(self.talk, [listener])
+
+    async def talk(self, stream):
+        self.lines += 1
+        while (request := await read_message(stream)) is not None:
+            self.got.append(request)
+            answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+            if answer is SILENT:
+                break
+            if answer:
+                await stream.send_all(answer)
+            if answer not in (OK, FULL, ERROR):  # whatever else it says, it hangs up after it
+                await stream.aclose()
+                return
+        with suppress(trio.BrokenResourceError):
+            while await stream.receive_some():
+                pass
+        self.ended.set()
+
+
+async def read_message(stream):
+    """One whole message, head and body; None at the end of the stream."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        part = await stream.receive_some()
+        if not part:
+            return None
+        data += part
+    head = data.split(b"\r\n\r\n")[0].lower()
+    found = re.search(rb"content-length: (\d+)", head)
+    while len(data) < len(head) + 4 + (int(found[1]) if found else 0):
+        part = await stream.receive_some()
+        if not part:
+            return data
+        data += part
+    return data
+
+
+def settings(hard_stop):
+    return {"allowed": {"cancel": True, "conn-idle": 30.0, "connect-timeout": 0.5, "most-relays": 3,
+                        "retry-after": True, "max-retry-after": 2.0, "second-copies": True},
+            "balancers": 1, "dcs": ["z"], "skus": ["k"], "tick": 0.005, "tiers": ["t"], "tier": 0,
+            "report": {"how": "answers", "fields": ["active"]}, "membership-mode": "pushed",
+            "rules": {"answer-slack": 0.02, "cold": 9.0, "cold-share": 0.4, "drain-grace": 2.0, "fall": 1.0,
+                      "fall-multiple": 3.0},
+            "traffic-types": [{"name": name, "effect": effect, "hard-stop": hard_stop,
+                               "target-time": hard_stop,
+                               "utility": 1.0, "overdue-utility": 0.5, "repeat-window": 2.0}
+                              for name, effect in KINDS.items()]}
+
+
+def entry(peer, **changes):
+    return {"id": peer.name, "addr": peer.place, "zone": "z", "kind": "k", "cell": 0, "state": "in_service",
+            "weight": 1.0, "started_ms": 0} | changes
+
+
+class Node:
+    """A whole node in this process, its servers, and what a caller needs."""
+
+    def __init__(self, folder, *peers, hard_stop=1.0, descriptors=256, discovery=None):
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.port = free.getsockname()[1]
+        self.peers, self.discovery = peers, discovery or Peer(SILENT)
+        told = {"name": "n", "listen": f"127.0.0.1:{self.port}", "discovery": self.discovery.place,
+                "seed": "1", "limits": {"sockets": descriptors}, "settings": settings(hard_stop),
+                "known": {"version": 1, "full": True, "servers": [entry(one) for one in peers]}}
+        path = folder / "config.json"
+        path.write_text(json.dumps(told))
+        self.boot, self.done = boot.read({"PROXY_CONFIG": str(path)}), trio.Event()
+
+    async def _serve(self):
+        await serve_node(self.boot, structlog.get_logger())
+        self.done.set()
+
+    async def connect(self):
+        while True:
+            try:
+                return await trio.open_tcp_stream("127.0.0.1", self.port)
+            except OSError:
+                await trio.sleep(0.01)
+
+    @staticmethod
+    def message(kind="view", headers="", body="", time_out="1000m"):
+        effect = KINDS.get(kind, "retryable")
+        receipt = "Idempotency-Key: r1\r\n" if effect == "dedup" else ""
+        method = "GET" if effect == "retryable" else "POST"
+        return (f"{method} /{kind}/7?a=b%20c HTTP/1.1\r\nHost: backend.local\r\n"
+                f"Request-Id: 9b1f\r\nRequest-Timeout: {time_out}\r\n{receipt}{headers}"
+                + (f"Content-Length: {len(body)}\r\n" if body else "") + f"\r\n{body}").encode()
+
+    async def ask(self, *what, stream=None, **how):
+        """Sends one command; its answer as (status, whole message)."""
+        stream = stream or await self.connect()
+        await stream.send_all(self.message(*what, **how))
+        answer = await read_message(stream)
+        return int(answer.split()[1]), answer
+
+
+def story(tell):
+    """Runs an async test with a deadline; what it starts in `nursery` ends with it."""
+    def run(tmp_path):
+        async def within():
+            with trio.fail_after(20):
+                async with trio.open_nursery() as nursery:
+                    async def start(*peers, **how):
+                        node = Node(tmp_path, *peers, **how)
+                        for one in (*peers, node.discovery):
+                            nursery.start_soon(one.run)
+                        nursery.start_soon(node._serve)
+                        (await node.connect()).socket.close()
+                        return node
+                    await tell(start)
+                    nursery.cancel_scope.cancel()
+        trio.run(within)
+    run.__name__ = tell.__name__
+    return run
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,251 @@
+"""One short story for each way in which sockets could break a rule, and for each failure met on them."""
+
+import os
+import signal
+import subprocess
+import sys
+
+import pytest
+import trio
+from fakehost import ERROR, FULL, OK, RESET, SILENT, Peer, read_message, story
+
+from wheatroute.interface import Event, Outcome
+from wheatroute.net import boot
+from wheatroute.net.exchange import Answer, Exchange
+from wheatroute.net.rounds import Passes, Rounds
+
+CUT_OFF = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart"
+UNMARKED = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+ENDLESS = b"HTTP/1.1 200 OK\r\n\r\nwho knows"
+
+
+@story
+async def test_a_command_goes_on_unchanged_and_its_answer_comes_back_on_kept_connections(start):
+    peer = Peer(OK)
+    node = await start(peer)
+    stream = await node.connect()
+    for _ in range(3):
+        status, answer = await node.ask("amend", body="x" * 60000, stream=stream)
+        assert status == 200 and answer.endswith(b"\r\n\r\nok")
+    assert peer.lines == 1 and len(peer.got) == 3
+    head, body = peer.got[0].split(b"\r\n\r\n", 1)
+    assert head.startswith(b"POST /amend/7?a=b%20c HTTP/1.1\r\n") and body == b"x" * 60000
+    assert b"request-id: 9b1f\r\n" in head.lower() and b"idempotency-key: r1" in head.lower()
+
+
+@story
+async def test_an_effectful_command_goes_elsewhere_only_if_the_answer_proves_that_it_never_ran(start):
+    for answer, relays, status in ((FULL, 2, 200), (ERROR, 1, 502), (RESET, 1, 502), (CUT_OFF, 1, 502),
+                                   (ENDLESS, 1, 502), (UNMARKED, 1, 502)):
+        turn = [answer, OK]
+        first, second = Peer(OK), Peer(OK, name="t")
+        first.answers = second.answers = turn
+        node = await start(first, second)
+        got, message = await node.ask("place", body="b")
+        assert (got, len(first.got + second.got)) == (status, relays), answer
+        assert b"part" not in message and b"who knows" not in message
+
+
+@story
+async def test_a_refused_connection_proves_that_nothing_ran(start):
+    dead, alive = Peer(OK), Peer(OK, name="t")
+    dead.listener.close()
+    node = await start(dead, alive)
+    assert [(await node.ask("place", body="b"))[0] for _ in range(6)] == [200] * 6
+    assert len(alive.got) == 6
+
+
+@story
+async def test_a_kept_connection_that_its_server_has_shut_is_found_out_before_use(start):
+    peer = Peer(OK)
+    node = await start(peer)
+    await node.ask("place", body="b")
+    peer.answers = [b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlast", OK]  # and it shuts the connection
+    assert (await node.ask("place", body="b"))[0] == 200
+    await trio.sleep(0.05)
+    assert (await node.ask("place", body="b"))[0] == 200 and peer.lines == 2
+
+
+@story
+async def test_a_caller_that_hangs_up_ends_its_relay_at_once(start):
+    peer = Peer(SILENT)
+    node = await start(peer, hard_stop=10.0)
+    stream = await node.connect()
+    await stream.send_all(node.message(time_out="10000m"))
+    while not peer.got:
+        await trio.sleep(0.01)
+    await stream.aclose()
+    with trio.fail_after(2):
+        await peer.ended.wait()
+
+
+@story
+async def test_silent_servers_cost_no_answer_and_nothing_stays_out_after_it(start):
+    peer = Peer(SILENT)
+    node = await start(peer)
+    before = trio.current_time()
+    status, _ = await node.ask("place", body="b", time_out="300m")
+    assert status == 502 and 0.25 < trio.current_time() - before < 0.37
+    with trio.fail_after(1):
+        await peer.ended.wait()
+    assert (await node.ask("view", time_out="200m"))[0] == 503  # pure: trying again is harmless
+
+
+@story
+async def test_what_is_no_command_gets_a_short_reason_and_is_relayed_nowhere(start):
+    peer = Peer(OK)
+    node = await start(peer)
+    good = node.message("place", body="b")
+    for bad, status in (
+            (good.replace(b"/place", b"/else"), 404), (good.replace(b"POST", b"GET"), 405),
+            (good.replace(b"1000m", b"soon"), 400), (good.replace(b"1000m", b"-5m"), 400),
+            (good.replace(b"Request-Timeout", b"Other"), 400), (good.replace(b"Request-Id", b"Other"), 400),
+            (good.replace(b"Length: 1", b"Length: 70000") + b"x" * 70000, 413),
+            (good.replace(b"Length: 1", b"Length: many"), 400), (b"nonsense\r\n\r\n", 400),
+            (good.replace(b"Host:", b"Idempotency-Key: r\r\nHost:"), 400),
+            (good.replace(b"Host:", b"Filler: " + b"x" * 70000 + b"\r\nHost:"), 431)):
+        stream = await node.connect()
+        await stream.send_all(bad)
+        answer = await read_message(stream)
+        assert int(answer.split()[1]) == status, bad[:60]
+        assert await read_message(stream) is None  # and the connection ends
+    assert not peer.got
+    assert (await node.ask("view", headers="Tenant: nobody\r\nNovel: 1\r\n"))[0] == 200
+
+
+@story
+async def test_half_a_command_and_silence_ends_in_bounded_time(start):
+    node = await start(Peer(OK), hard_stop=0.3)
+    stream = await node.connect()
+    await stream.send_all(node.message("place", body="body")[:-2])
+    assert (await read_message(stream)).startswith(b"HTTP/1.1 408 ")
+
+
+@story
+async def test_a_stopping_node_serves_who_still_comes_and_answers_all_it_took(start):
+    node = await start(Peer(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), Peer(SILENT, name="t"))
+    idle, busy = await node.connect(), await node.connect()
+    assert (await node.ask("view", stream=idle))[0] == 200
+    await busy.send_all(node.message("view", time_out="900m"))
+    await trio.sleep(0.05)
+    os.kill(os.getpid(), signal.SIGTERM)
+    await trio.sleep(0.1)
+    assert await read_message(idle) is None
+    status, answer = await node.ask("view")
+    assert status in (200, 503) and b"connection: close" in answer.lower()
+    assert await read_message(busy) is not None
+    with trio.fail_after(3):
+        await node.done.wait()
+
+
+@story
+async def test_no_relay_goes_to_a_server_once_the_list_says_that_it_drains(start):
+    draining, other = Peer(OK), Peer(OK, name="t")
+    news = (b'{"version":2,"full":false,"servers":[5,{"id":"u","addr":"nowhere"},'
+            b'{"id":"s","addr":"%s","state":"terminating"}]}' % draining.place.encode())
+    told = Peer(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(news), news), SILENT)
+    node = await start(draining, other, discovery=told)
+    await trio.sleep(0.2)
+    before = len(draining.got)
+    assert [(await node.ask())[0] for _ in range(12)] == [200] * 12
+    assert len(draining.got) == before and len(other.got) == 12
+    assert b"after=1&wait_ms=" in told.got[0]
+
+
+@story
+async def test_at_the_descriptor_limit_the_caller_idle_for_longest_makes_room(start):
+    node = await start(Peer(OK), descriptors=40)
+    streams = [await node.connect() for _ in range(20)]
+    for one in streams[-3:]:
+        assert (await node.ask(stream=one))[0] == 200
+    assert await read_message(streams[0]) is None
+
+
+@story
+async def test_a_mistake_in_the_module_ends_no_node_and_leaves_no_command_unanswered(start):
+    from wheatroute.decide import Balancer
+    node = await start(Peer(OK))
+    right, Balancer._arrived = Balancer._arrived, lambda *fields: 1 / 0
+    try:
+        assert (await node.ask(time_out="200m"))[0] == 502
+    finally:
+        Balancer._arrived = right
+    assert (await node.ask())[0] == 200
+
+
+class Sides:
+    """What a writer needs, noting what is started."""
+
+    def __init__(self):
+        self.started = []
+
+    def start(self, exchange, relay):
+        self.started.append((exchange, relay))
+
+
+def collected(node):
+    """A `Rounds` without sockets, its module replaced by a list of the events it was given."""
+    rounds, given = Rounds(node, "1", None), []
+    rounds.servers = Sides()
+    rounds._balancer = type("Module", (), {"round": lambda self, now, events, writer: given.extend(events)})()
+    return rounds, given
+
+
+def command(left=5.0):
+    exchange = Exchange(b"GET", b"/view", b"1", b"", b"")
+    exchange.left = left
+    return exchange
+
+
+TERMS = {"most_relays": 2, "answer_slack": 0.02, "nodes": 1, "tick": 0.005, "tier": 0, "customers": [],
+         "list_on_request": False, "traffic_types": [{"utility": 1.0, "effect": 0}]}
+
+
+def test_nothing_goes_out_for_a_command_that_has_its_answer():
+    async def tell():
+        rounds, given = collected(TERMS)
+        exchange = command()
+        rounds.arrived(exchange)
+        rounds.relay(0, 3, 1.0)
+        assert exchange.settle(Answer(200, b"first")) and not exchange.settle(Answer(200, b"second"))
+        rounds.relay(0, 4, 1.0)
+        rounds.round(rounds._stops[0][0] - 1.0)
+        assert len(rounds.servers.started) == 1 and exchange.answer.body == b"first"
+        assert [one[4] for one in given if one[0] == Event.RETURNED] == [Outcome.MOOT]
+        rounds.terminate(0)
+        assert exchange.answer.body == b"first"
+    trio.run(tell)
+
+
+def test_time_that_a_command_lay_unread_counts_from_the_pass_before():
+    passes = Passes()
+    passes.after_io_wait(0.0)
+    passes._began -= 0.5  # the pass took half a second, and the next wait finds the socket ready
+    passes.before_io_wait(0.0)
+    passes.after_io_wait(0.0)
+    assert 0.5 <= passes.lag < 1.0
+    passes._before -= 0.1  # after a real wait what is seen has only just come
+    passes.after_io_wait(0.1)
+    assert passes.lag < 0.1
+
+
+def test_a_node_that_is_told_too_little_says_so_in_one_line_and_exits_with_2(tmp_path):
+    path = tmp_path / "config.json"
+    for text in ("{", "[]", "{}", '{"settings":{}}',
+                 '{"settings":{},"listen":"127.0.0.1:1","discovery":"here"}'):
+        path.write_text(text)
+        with pytest.raises(boot.BootError):
+            boot.read({"PROXY_CONFIG": str(path)})
+    ran = subprocess.run([sys.executable, "-m", "wheatroute"], capture_output=True, text=True,
+                         env=os.environ | {"PROXY_CONFIG": str(path)})
+    assert ran.returncode == 2 and ran.stderr.count("\n") == 1 and "Traceback" not in ran.stderr
+
+
+@story
+async def test_a_server_whose_address_changes_is_found_at_its_new_one(start):
+    old, new = Peer(OK), Peer(OK)
+    news = b'{"version":2,"full":false,"servers":[{"id":"s","addr":"%s"}]}' % new.place.encode()
+    told = Peer(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(news), news), SILENT)
+    node = await start(new, old, discovery=told)  # of the same name: what is known at start is the last
+    await trio.sleep(0.2)
+    assert (await node.ask())[0] == 200 and len(new.got) == 1
--- a/wheatroute/__main__.py
+++ b/wheatroute/__main__.py
@@ -21,13 +21,15 @@
 CALLERS_SHARE = 0.45  # of the connections; a command holds one to its caller, one or two to servers
 
 
-async def _serve(boot: dict[str, Any], log: Any) -> None:
+async def serve_node(boot: dict[str, Any], log: Any) -> None:
+    """Runs until SIGTERM or SIGINT and all that was taken is answered."""
     most = boot["descriptors"]
     rounds = Rounds(boot["terms"], boot["seed"], log)
     servers = Servers(boot["terms"], most - int(most * CALLERS_SHARE), rounds, log)
     rounds.servers = servers
     rounds.discovery = discovery = Discovery(boot, rounds, servers, log)
     callers = Callers(boot, int(most * CALLERS_SHARE), rounds, discovery, log)
+    trio.lowlevel.add_instrument(rounds.passes)
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
             for task in (servers.run, discovery.run, rounds.run):
@@ -55,8 +57,9 @@
         return 2
     log = open_log(boot["name"])
     gc.freeze()  # what is loaded by now stays for good
+    gc.set_threshold(10000, 20, 50)  # little that is made for a command refers back to itself
     try:
-        trio.run(_serve, boot, log)
+        trio.run(serve_node, boot, log)
     except OSError as trouble:
         print(f"wheatroute: {trouble}", file=sys.stderr)
         return 1
--- a/wheatroute/net/callers.py
+++ b/wheatroute/net/callers.py
@@ -8,6 +8,7 @@
 import errno
 import re
 import socket
+import time
 from typing import Any
 from urllib.parse import unquote
 
@@ -15,7 +16,7 @@
 import trio
 
 from wheatroute.interface import Effect
-from wheatroute.net.connection import Connection, MalformedError
+from wheatroute.net.connection import LONGEST_BODY, Connection, MalformedError
 from wheatroute.net.discovery import Discovery
 from wheatroute.net.exchange import Answer, Exchange
 from wheatroute.net.log import Reason, ended
@@ -23,6 +24,7 @@
 
 BACKLOG = 1024
 COMING = 0.5  # seconds after SIGTERM in which new connections still come: 0.4 by the protocol
+FIRST_READ = 3  # passes of the event loop from accepting a connection to reading what lay on it
 LINGER = 0.5  # seconds for a caller to take its answer in and close, before what it sent is thrown away
 REASONS = {400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
            413: b"Content Too Large", 431: b"Request Header Fields Too Large", 200: b"OK",
@@ -114,7 +116,9 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._open += 1
-        nursery.start_soon(self._serve, Connection(sock, h11.SERVER, f"{place[0]}:{place[1]}"))
+        line = Connection(sock, h11.SERVER, f"{place[0]}:{place[1]}")
+        line.since, line.passes = line.since - self._rounds.passes.lag, self._rounds.passes.count
+        nursery.start_soon(self._serve, line)
         return True
 
     async def _serve(self, line: Connection) -> None:
@@ -138,11 +142,8 @@
             if reason is not None:
                 return reason
             try:
-                with trio.move_on_after(self._longest) as limit:
-                    request, body = await self._message(line)
-                if limit.cancelled_caught:
-                    raise MalformedError(408, "half a request")
-                answer = await self._answer_to(line, request, body)
+                await self._message(line)
+                answer = await self._answer_to(line)
             except MalformedError as trouble:
                 return await self._turn_away(line, trouble)
             if answer is None:
@@ -161,7 +162,7 @@
             if self.stopping and line.messages:
                 scope.cancel()
             try:
-                if not await line.more():
+                if not await line.more() and not line.http.trailing_data[0]:
                     return Reason.CLOSED
             finally:
                 self._idle.pop(line, None)
@@ -172,29 +173,33 @@
             return None if await line.more() else Reason.CLOSED
         return Reason.STOPPING if self.stopping else Reason.ROOM
 
-    async def _message(self, line: Connection) -> tuple[h11.Request, bytes]:
-        request = await line.event()
-        if not isinstance(request, h11.Request):
-            raise ConnectionResetError
+    async def _message(self, line: Connection) -> None:
+        """Reads the message whose first bytes are here; half of one and silence ends in bounded time."""
+        if line.parse():
+            return
         if line.http.they_are_waiting_for_100_continue:
             line.sock.send(line.http.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
-        return request, await line.body()
+        with trio.move_on_after(self._longest):
+            await line.message()
+            return
+        raise MalformedError(408, "half a request")
 
     # commands
 
-    async def _answer_to(self, line: Connection, request: h11.Request, body: bytes) -> Answer | None:
-        path = unquote(request.target.split(b"?", 1)[0].decode("latin-1"))
+    async def _answer_to(self, line: Connection) -> Answer | None:
+        path = unquote(line.head.target.split(b"?", 1)[0].decode("latin-1"))
         if path == "/up":
             return Answer(200 if self._discovery.known else 503, b"")
-        exchange = self._exchange(request, path, body)
+        exchange = self._exchange(line, path)
         self._rounds.arrived(exchange)
         return await self._await_answer(line, exchange)
 
-    def _exchange(self, request: h11.Request, path: str, body: bytes) -> Exchange:
+    def _exchange(self, line: Connection, path: str) -> Exchange:
         """What a caller asks for, or why it cannot be had."""
         kind = self._kinds.get(path.lstrip("/").split("/", 1)[0])
         if kind is None:
             raise MalformedError(404, "no such traffic type")
+        request = line.head
         headers = dict(request.headers)
         name, receipt = headers.get(b"request-id", b""), headers.get(b"idempotency-key", b"")
         effect = self._terms[kind]["effect"]
@@ -204,20 +209,27 @@
             raise MalformedError(400, "no Request-Id")
         if bool(receipt) != (effect == Effect.RECEIPTED):
             raise MalformedError(400, "Idempotency-Key does not suit this traffic type")
-        exchange = Exchange(request.method, request.target, name, receipt, body)
+        exchange = Exchange(request.method, request.target, name, receipt, line.body)
         exchange.kind = kind
-        exchange.left = time_left(headers.get(b"request-timeout", b""))
+        exchange.left = max(0.0, time_left(headers.get(b"request-timeout", b"")) - self._lag(line))
         exchange.customer = self._customers.get(headers.get(b"tenant", b"").decode("latin-1"), -1)
         exchange.repeated = headers.get(b"client-retry", b"").strip() == b"1"
         return exchange
 
+    def _lag(self, line: Connection) -> float:
+        """How long a message may have lain unread: a first one since before its connection was accepted."""
+        passes = self._rounds.passes
+        if not line.messages and passes.count - line.passes <= FIRST_READ:
+            return time.monotonic() - line.since
+        return passes.lag
+
     async def _await_answer(self, line: Connection, exchange: Exchange) -> Answer | None:
         """The command's answer, or None as soon as its caller has hung up."""
         while exchange.answer is None:
             with trio.CancelScope() as scope:
                 exchange.waiting = scope
                 try:
-                    if len(line.http.trailing_data[0]) > self._longest_unread:
+                    if len(line.http.trailing_data[0]) > LONGEST_BODY:
                         await trio.sleep_forever()  # a caller that asks far ahead is read no further
                     gone = not await line.more()
                 except OSError:
@@ -227,8 +239,6 @@
                     return None
         return exchange.answer
 
-    _longest_unread = 65536
-
     # answers
 
     async def _send(self, line: Connection, answer: Answer) -> None:
--- a/wheatroute/net/connection.py
+++ b/wheatroute/net/connection.py
@@ -7,6 +7,7 @@
 
 import socket
 import time
+from typing import Any
 
 import h11
 import trio
@@ -27,51 +28,62 @@
 class Connection:
     """A socket with its h11 state; `role` is h11.SERVER towards callers, h11.CLIENT towards servers."""
 
-    __slots__ = ("sock", "http", "since", "messages", "whole", "peer")
+    __slots__ = ("sock", "http", "since", "messages", "whole", "peer", "head", "longest", "passes",
+                 "_parts", "_length")
 
     def __init__(self, sock: socket.socket, role: type, peer: str) -> None:
         self.sock, self.peer = sock, peer
         self.http = h11.Connection(role, max_incomplete_event_size=LONGEST_HEAD)
         self.since = time.monotonic()
         self.messages = 0
+        self.passes = 0  # of the event loop when it was accepted
         self.whole = False  # the last message sent was written to its last byte
+        self.head: Any = None  # of the message that is being read
+        self.longest = LONGEST_BODY
+        self._parts: list[bytes] = []  # of its body
+        self._length = 0
 
-    async def more(self) -> bytes:
-        """Waits for bytes, hands them to the buffer and returns them; none at the end."""
+    async def more(self) -> bool:
+        """Waits for bytes and hands them to the buffer; False at the end of what the other side sends."""
         while True:
+            # no try before the wait: there is seldom anything yet, and a call in vain costs as much
+            await trio.lowlevel.wait_readable(self.sock)
             try:
                 data = self.sock.recv(CHUNK)
             except BlockingIOError:
-                await trio.lowlevel.wait_readable(self.sock)
                 continue
             self.http.receive_data(data)
-            return data
+            return bool(data)
 
-    async def event(self) -> object:
-        """The next event of h11, reading as it needs."""
+    def parse(self) -> bool:
+        """Takes what the buffer holds of the next message; True once it is whole, never if it was cut off."""
         while True:
             try:
                 event = self.http.next_event()
             except h11.RemoteProtocolError as trouble:
                 raise MalformedError(trouble.error_status_hint, str(trouble)) from trouble
-            if event is not h11.NEED_DATA:
-                return event
+            if event is h11.NEED_DATA:
+                return False
+            if isinstance(event, h11.Data):
+                self._length += len(event.data)
+                if self._length > self.longest:
+                    raise MalformedError(413, "body too long")
+                self._parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return True
+            elif isinstance(event, h11.Request | h11.Response):
+                self.head, self._parts, self._length = event, [], 0
+            elif not isinstance(event, h11.InformationalResponse):
+                raise MalformedError(400, "closed")
+
+    async def message(self) -> None:
+        """Reads until `head` and `body` are those of a whole message."""
+        while not self.parse():
             await self.more()
 
-    async def body(self, most: int = LONGEST_BODY) -> bytes:
-        """The body of the message whose head was read, never one that was cut off or is too long."""
-        parts: list[bytes] = []
-        length = 0
-        while True:
-            event = await self.event()
-            if isinstance(event, h11.EndOfMessage):
-                return parts[0] if len(parts) == 1 else b"".join(parts)
-            if not isinstance(event, h11.Data):
-                raise MalformedError(400, "message cut off")
-            length += len(event.data)
-            if length > most:
-                raise MalformedError(413, "body too long")
-            parts.append(bytes(event.data))
+    @property
+    def body(self) -> bytes:
+        return self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
 
     async def send(self, head: h11.Request | h11.Response, body: bytes = b"") -> None:
         """Writes one message in one piece; `whole` tells whether its last byte was taken."""
--- a/wheatroute/net/discovery.py
+++ b/wheatroute/net/discovery.py
@@ -109,7 +109,9 @@
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if code:
                 raise OSError(code, "the list service cannot be reached")
-            return Connection(sock, h11.CLIENT, f"{self._place[0]}:{self._place[1]}")
+            line = Connection(sock, h11.CLIENT, f"{self._place[0]}:{self._place[1]}")
+            line.longest = LONGEST_LIST
+            return line
         except BaseException:
             sock.close()
             raise
@@ -117,12 +119,10 @@
     async def _call(self, line: Connection, target: bytes) -> Any:
         host = b"%s:%d" % (self._place[0].encode(), self._place[1])
         await line.send(h11.Request(method=b"GET", target=target, headers=[(b"Host", host)]))
-        head = await line.event()
-        while isinstance(head, h11.InformationalResponse):
-            head = await line.event()
-        if not isinstance(head, h11.Response) or head.status_code != 200:
+        await line.message()
+        body = line.body
+        if line.head.status_code != 200:
             raise MalformedError(0, "no list")
-        body = await line.body(LONGEST_LIST)
         if not line.next_message():
             raise MalformedError(0, "closed")
         try:
--- a/wheatroute/net/rounds.py
+++ b/wheatroute/net/rounds.py
@@ -2,13 +2,13 @@
 
 Owns the module, the numbers of commands and the clock of the rounds. Nothing else touches the module. It
 must never lose a round or enter one twice, and decides nothing: a command that the module should have
-answered by its hard stop is terminated then, which is logged as a mistake.
+answered by its hard stop is terminated inside the slack after it, which is logged as a mistake.
 """
 
 import random
 import time
-from collections.abc import Callable
 from heapq import heappop, heappush
+from math import inf
 from typing import Any, Protocol
 
 import trio
@@ -17,6 +17,10 @@
 from wheatroute.interface import Event, Outcome, Report
 from wheatroute.net.exchange import BOUNCED, TERMINATED, Answer, Exchange, Relay
 
+SHORTEST_WAIT = 0.0005  # seconds; a wait for sockets that took less found them ready
+
+RETRY = 0.25  # seconds until the next round after a mistake in the module, which may have lost its timer
+
 _OFFSET = time.time() - time.monotonic()
 
 
@@ -25,6 +29,32 @@
     return time.monotonic() + _OFFSET
 
 
+class Passes(trio.abc.Instrument):
+    """How long ago something that is seen now may have come in, at the most.
+
+    Guards against answers after a hard stop from a node that was held up: a caller's time counts from its
+    last byte, which may have lain unread since the pass of the event loop before this one.
+    """
+
+    def __init__(self) -> None:
+        self.count = 0
+        self._began = self._before = self._since = time.monotonic()
+
+    def before_io_wait(self, timeout: float) -> None:
+        self._before = time.monotonic()
+
+    def after_io_wait(self, timeout: float) -> None:
+        self.count += 1
+        moment = time.monotonic()
+        # it came during the wait if there was one, else after the wait before it
+        waited = moment - self._before > SHORTEST_WAIT
+        self._since, self._began = moment if waited else self._began, moment
+
+    @property
+    def lag(self) -> float:
+        return time.monotonic() - self._since
+
+
 class ServerSide(Protocol):
     """What a writer needs of the servers' side."""
 
@@ -47,15 +77,17 @@
     """The module's only caller, and its `Writer`."""
 
     def __init__(self, terms: dict[str, Any], seed: str, log: Any) -> None:
+        self.passes = Passes()
         self._balancer = Balancer(terms, random.Random(seed))
-        self._most_relays, self._log = terms["most_relays"], log
+        self._most_relays, self._slack, self._log = terms["most_relays"], terms["answer_slack"], log
         self._held: dict[int, Exchange] = {}
         self._taken = 0
         self._events: list[tuple[Any, ...]] = []
         self._spent: list[int] = []
         self._wakes: list[float] = []
-        self._stops: list[tuple[float, int]] = []  # hard stops of commands
+        self._stops: list[tuple[float, int]] = []  # when commands are overdue
         self._stirred = trio.Event()
+        self._alarm, self._alarm_at = trio.CancelScope(), inf
         self.servers: ServerSide
         self.discovery: ListSide
 
@@ -74,7 +106,7 @@
         exchange.number, self._taken = self._taken, self._taken + 1
         exchange.hard_stop = now() + exchange.left
         self._held[exchange.number] = exchange
-        heappush(self._stops, (exchange.hard_stop, exchange.number))
+        heappush(self._stops, (exchange.hard_stop + self._slack, exchange.number))
         self.happened(Event.ARRIVED, exchange.number, exchange.kind, exchange.left, exchange.customer,
                       exchange.repeated)
 
@@ -92,39 +124,58 @@
     # rounds
 
     async def run(self) -> None:
-        while True:
-            with trio.move_on_after(max(0.0, self._next() - now())):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._ring)
+            while True:
                 await self._stirred.wait()
-            self._stirred = trio.Event()
-            self.round(now())
+                self._stirred = trio.Event()
+                self.round(now())
+                self._set_alarm()
 
-    def _next(self) -> float:
-        moments = [heap[0] for heap in (self._wakes,) if heap] + [one[0] for one in self._stops[:1]]
-        return min(moments, default=now() + 3600.0)
+    async def _ring(self) -> None:
+        """Stirs the rounds when something is due. A task of its own: most rounds need no timer of theirs."""
+        while True:
+            with self._alarm:
+                await trio.sleep_forever()
+            self._alarm, self._alarm_at = trio.CancelScope(), inf
+            self._stirred.set()
+
+    def _set_alarm(self) -> None:
+        stops = self._stops
+        while stops and self._is_over(stops[0][1]):
+            heappop(stops)
+        moment = min(self._wakes[0] if self._wakes else inf, stops[0][0] if stops else inf)
+        if moment != self._alarm_at:
+            self._alarm_at = moment
+            self._alarm.deadline = trio.current_time() + moment - now()
+
+    def _is_over(self, number: int) -> bool:
+        exchange = self._held.get(number)
+        return exchange is None or exchange.over
 
     def round(self, moment: float) -> None:
         """One round with all that came in since the last."""
+        self._end_overdue(moment)
         events, self._events = self._events, []
         while self._wakes and self._wakes[0] <= moment:
             heappop(self._wakes)
             events.append((Event.WOKEN,))
         if events:
-            self._guarded(lambda: self._balancer.round(moment, events, self))
-        self._end_overdue(moment)
+            try:
+                self._balancer.round(moment, events, self)
+            except Exception:
+                # guards against a mistake in the module: it is logged, the node and what it holds go on
+                self._log.exception("fault")
+                heappush(self._wakes, moment + RETRY)
         for number in self._spent:
             self._held.pop(number, None)
         self._spent.clear()
 
-    def _guarded(self, call: Callable[[], None]) -> None:
-        """Guards against a mistake in the module: the place is logged, the node and what it holds go on."""
-        try:
-            call()
-        except Exception:
-            self._log.exception("fault")
-            heappush(self._wakes, now() + 0.25)  # else nothing would stir the module if it lost its timer
-
     def _end_overdue(self, moment: float) -> None:
-        """Guards against a command that the module forgot: its caller is answered all the same."""
+        """Guards against a command that the module forgot: its caller is answered all the same.
+
+        Before the round: the module hears of it in the same round in which the command is let go of.
+        """
         while self._stops and self._stops[0][0] <= moment:
             exchange = self._held.get(heappop(self._stops)[1])
             if exchange is not None and exchange.settle(Answer(TERMINATED)):
--- a/wheatroute/net/servers.py
+++ b/wheatroute/net/servers.py
@@ -143,12 +143,12 @@
     @staticmethod
     async def _answer(line: Connection) -> tuple[int, dict[bytes, bytes], bytes]:
         """A whole answer; one that is cut off or malformed is none."""
-        while True:
-            head = await line.event()
-            if isinstance(head, h11.Response):
-                return head.status_code, dict(head.headers), await line.body()
-            if not isinstance(head, h11.InformationalResponse):
-                raise MalformedError(0, "closed")
+        await line.message()
+        headers = dict(line.head.headers)
+        if b"content-length" not in headers and b"transfer-encoding" not in headers:
+            # guards against a cut-off answer taken for a whole one: nothing tells where this one should end
+            raise MalformedError(0, "an answer without an end")
+        return line.head.status_code, headers, line.body
 
     # probes
 
