Answers are written at once; for want of descriptors a relay is moot, not a dead server

A caller that never reads its answer held its task for good. A watch waits 5 s instead of 20: after an outage of the list service a silent connection blinds for that long.

--- a/wheatroute/net/callers.py
+++ b/wheatroute/net/callers.py
@@ -148,7 +148,8 @@
                 return await self._turn_away(line, trouble)
             if answer is None:
                 return Reason.LEFT
-            await self._send(line, answer)
+            if not await self._send(line, self._head(answer), answer.body):
+                return Reason.SLOW
             if not line.next_message():
                 await self._linger(line)
                 return Reason.STOPPING if self.stopping else Reason.ASKED
@@ -241,7 +242,7 @@
 
     # answers
 
-    async def _send(self, line: Connection, answer: Answer) -> None:
+    def _head(self, answer: Answer) -> h11.Response:
         headers = [(b"Content-Length", b"%d" % len(answer.body))]
         if answer.kind:
             headers.append((b"Content-Type", answer.kind))
@@ -249,8 +250,15 @@
             headers.append((b"Retry-After", b"%.3f" % answer.stay_away))
         if self.stopping:
             headers.append((b"Connection", b"close"))
-        await line.send(h11.Response(status_code=answer.status, headers=headers,
-                                     reason=REASONS.get(answer.status, b"")), answer.body)
+        return h11.Response(status_code=answer.status, headers=headers, reason=REASONS[answer.status])
+
+    async def _send(self, line: Connection, head: h11.Response, body: bytes) -> bool:
+        """Writes an answer; False for a caller that has not taken it in within the longest hard stop."""
+        if line.send(head, body):
+            return True
+        with trio.move_on_after(self._longest):
+            await line.rest()
+        return line.whole
 
     async def _turn_away(self, line: Connection, trouble: MalformedError) -> Reason:
         """A short reason for what cannot be taken, and the end of the connection."""
@@ -258,8 +266,9 @@
             body = trouble.reason.encode("ascii", "replace") + b"\n"
             headers = [(b"Content-Length", b"%d" % len(body)), (b"Content-Type", b"text/plain"),
                        (b"Connection", b"close")]
-            await line.send(h11.Response(status_code=trouble.status, headers=headers,
-                                         reason=REASONS.get(trouble.status, b"")), body)
+            head = h11.Response(status_code=trouble.status, headers=headers,
+                                reason=REASONS.get(trouble.status, b"Bad Request"))
+            await self._send(line, head, body)
             await self._linger(line)
         return Reason.SLOW if trouble.status == 408 else Reason.MALFORMED
 
--- a/wheatroute/net/connection.py
+++ b/wheatroute/net/connection.py
@@ -29,7 +29,7 @@
     """A socket with its h11 state; `role` is h11.SERVER towards callers, h11.CLIENT towards servers."""
 
     __slots__ = ("sock", "http", "since", "messages", "whole", "peer", "head", "longest", "passes",
-                 "_parts", "_length")
+                 "_parts", "_length", "_unsent")
 
     def __init__(self, sock: socket.socket, role: type, peer: str) -> None:
         self.sock, self.peer = sock, peer
@@ -42,6 +42,7 @@
         self.longest = LONGEST_BODY
         self._parts: list[bytes] = []  # of its body
         self._length = 0
+        self._unsent = b""  # of the message that is being sent
 
     async def more(self) -> bool:
         """Waits for bytes and hands them to the buffer; False at the end of what the other side sends."""
@@ -85,24 +86,33 @@
     def body(self) -> bytes:
         return self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
 
-    async def send(self, head: h11.Request | h11.Response, body: bytes = b"") -> None:
-        """Writes one message in one piece; `whole` tells whether its last byte was taken."""
+    def send(self, head: h11.Request | h11.Response, body: bytes = b"") -> bool:
+        """Writes one message in one piece, as far as the socket takes it now; True if that was all.
+
+        `whole` tells from here on whether its last byte was taken; what was not is for `rest`.
+        """
         self.whole = False
         data = self.http.send(head) or b""
         if body:
             data += self.http.send(h11.Data(data=body)) or b""
-        data += self.http.send(h11.EndOfMessage()) or b""
-        sent = 0
-        while True:
-            try:
-                sent += self.sock.send(data[sent:] if sent else data)
-            except BlockingIOError:
-                pass
-            if sent == len(data):
-                break
+        self._unsent = data + (self.http.send(h11.EndOfMessage()) or b"")
+        return self._write()
+
+    async def rest(self) -> None:
+        """Writes what `send` left over."""
+        while not self._write():
             await trio.lowlevel.wait_writable(self.sock)
+
+    def _write(self) -> bool:
+        try:
+            self._unsent = self._unsent[self.sock.send(self._unsent):]
+        except BlockingIOError:
+            return False
+        if self._unsent:
+            return False
         self.whole = True
         self.messages += 1
+        return True
 
     def next_message(self) -> bool:
         """Makes ready for another message; False if this connection takes no more."""
--- a/wheatroute/net/discovery.py
+++ b/wheatroute/net/discovery.py
@@ -22,9 +22,9 @@
 
 PATH = b"/discovery/hosts"
 STATES = {"in_service": State.LIVE, "terminating": State.DRAINING, "terminated": State.GONE}
-WAIT = 20.0  # seconds that a watch waits for news; the protocol allows 60
-LATE = 2.0  # seconds after its wait in which a watch must answer, else the list service is down
-PATIENCE = 6.0  # the same for a fetch; both are what the protocol counts as told
+WAIT = 5.0  # seconds that a watch waits for news: short, as a connection may stay silent after an outage
+LATE = 1.0  # seconds after its wait in which a watch must answer; by the protocol it counts as told after 2
+PATIENCE = 6.0  # seconds for a fetch, after which the protocol counts it as told
 AGAIN = 0.1  # pause before another try, inside the 200 ms in which a watch goes on
 LONGEST_LIST = 1 << 24
 
@@ -118,7 +118,7 @@
 
     async def _call(self, line: Connection, target: bytes) -> Any:
         host = b"%s:%d" % (self._place[0].encode(), self._place[1])
-        await line.send(h11.Request(method=b"GET", target=target, headers=[(b"Host", host)]))
+        line.send(h11.Request(method=b"GET", target=target, headers=[(b"Host", host)]))
         await line.message()
         body = line.body
         if line.head.status_code != 200:
--- a/wheatroute/net/servers.py
+++ b/wheatroute/net/servers.py
@@ -107,14 +107,16 @@
         """One relay up to its outcome; the connection stays in `wire` unless it can be used again."""
         try:
             wire.line = await self._connection(relay.server)
-        except UnreachedError:
-            return Outcome.UNCONNECTED, None
+        except UnreachedError as trouble:
+            # for want of room the relay never was under way, which tells nothing of the server
+            return Outcome.MOOT if trouble.reason == Reason.ROOM else Outcome.UNCONNECTED, None
         if exchange.over or relay.withdrawn:
             # guards against a relay that goes out after the final answer, which came while it connected
             self._keep(relay.server, wire)
             return Outcome.MOOT, None
         try:
-            await wire.line.send(self._request(exchange, relay), exchange.body)
+            if not wire.line.send(self._request(exchange, relay), exchange.body):
+                await wire.line.rest()
             status, headers, body = await self._answer(wire.line)
         except OSError:
             wire.reason = Reason.BROKEN
@@ -163,8 +165,7 @@
                 wire.line = await self._connection(server)
                 host, port = self._places[server]
                 place = b"%s:%d" % (host.encode(), port)
-                await wire.line.send(h11.Request(method=b"GET", target=self._load_path,
-                                                 headers=[(b"Host", place)]))
+                wire.line.send(h11.Request(method=b"GET", target=self._load_path, headers=[(b"Host", place)]))
                 status, headers, body = await self._answer(wire.line)
                 outcome = Outcome.HANDLED if status == 200 else Outcome.ERROR
                 load = headers.get(b"server-load", body if self._load_path != b"/alive" else b"")
