--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# What there is to do here; `make` alone lists it. All of it works offline once `make build` has run.
+PYTHON ?= python3
+
+.PHONY: help build test lint run demo clean
+help:
+	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /	/'
+
+build: .venv/.built ## make the environment in .venv
+.venv/.built: pyproject.toml
+	$(PYTHON) -m venv .venv
+	.venv/bin/pip -q install -e '.[dev]'
+	touch $@
+
+test: build ## run all tests
+	.venv/bin/python -m pytest
+
+lint: build ## check style and types of mistakes
+	.venv/bin/ruff check .
+
+run: build ## one node, with the settings of examples/node.json
+	PROXY_CONFIG=examples/node.json .venv/bin/python -m wheatroute
+
+demo: build ## two toy servers with their list, one node before them, ten commands through it
+	.venv/bin/python examples/demo.py
+
+clean: ## remove the environment and what tools leave behind
+	rm -rf .venv build *.egg-info .pytest_cache .ruff_cache
--- /dev/null
+++ b/examples/demo.py
@@ -0,0 +1,48 @@
+"""Starts the toy servers and a node before them, sends ten commands through it and stops it again."""
+
+import http.client
+import os
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import toy_server
+
+HERE = Path(__file__).parent
+
+
+def wait_until_up(place: str, node: subprocess.Popen) -> None:
+    while node.poll() is None:
+        caller = http.client.HTTPConnection(place, timeout=1)
+        try:
+            caller.request("GET", "/up")
+            if caller.getresponse().status == 200:
+                return
+        except OSError:
+            time.sleep(0.05)
+        finally:
+            caller.close()
+    sys.exit("the node did not start: is something else on its port?")
+
+
+def main() -> None:
+    toy_server.start(slow=0.1)
+    node = subprocess.Popen([sys.executable, "-m", "wheatroute"], cwd=HERE.parent,
+                            env=os.environ | {"PROXY_CONFIG": str(HERE / "node.json")})
+    try:
+        wait_until_up(toy_server.NODE["listen"], node)
+        caller = http.client.HTTPConnection(toy_server.NODE["listen"], timeout=5)
+        for number in range(10):
+            caller.request("GET", f"/look/{number}", headers={
+                "Request-Id": f"{number:016x}", "Tenant": "a-shop", "Request-Timeout": "2000m"})
+            answer = caller.getresponse()
+            print(answer.status, answer.read().decode().strip(), flush=True)
+        caller.close()
+    finally:
+        node.terminate()
+        print("node ended with status", node.wait())
+
+
+if __name__ == "__main__":
+    main()
--- a/wheatroute/net/discovery.py
+++ b/wheatroute/net/discovery.py
@@ -71,7 +71,7 @@
 
     async def _follow(self) -> None:
         """One connection with one watch after the other, until it fails."""
-        line, reason = None, Reason.TIMED_OUT
+        line, reason = None, Reason.STOPPING
         try:
             with trio.move_on_after(LATE):
                 line = await self._connect()
@@ -80,6 +80,7 @@
                 with trio.move_on_after(WAIT + LATE) as limit:
                     self._take(await self._call(line, PATH + b"?" + since if since else PATH))
                 if limit.cancelled_caught:
+                    reason = Reason.TIMED_OUT
                     return
         except (OSError, MalformedError):
             reason = Reason.BROKEN
--- a/wheatroute/net/log.py
+++ b/wheatroute/net/log.py
@@ -4,6 +4,8 @@
 node: no line for a command, none on the ordinary path. `docs/oncall.md` explains each code and line.
 """
 
+import os
+import stat
 import sys
 import time
 from enum import StrEnum
@@ -32,6 +34,30 @@
     FAULT = "fault"  # a mistake of the node's own
 
 
+class Lines:
+    """Writes lines; where a pipe is full they are dropped and counted.
+
+    Guards against a reader of the log that stands still, which would hold up the whole node.
+    """
+
+    def __init__(self) -> None:
+        self._out = sys.stdout.fileno()
+        self._dropped = 0
+        if stat.S_ISFIFO(os.fstat(self._out).st_mode):
+            os.set_blocking(self._out, False)
+
+    def msg(self, line: str) -> None:
+        if self._dropped:
+            line = f"{line} dropped_before={self._dropped}"
+        try:
+            os.write(self._out, line.encode() + b"\n")
+            self._dropped = 0
+        except OSError:
+            self._dropped += 1
+
+    info = warning = error = exception = msg
+
+
 def open_log(name: str) -> Any:
     """The node's logger; every line bears the node's name."""
     structlog.configure(
@@ -39,7 +65,7 @@
                     structlog.processors.TimeStamper(fmt="iso", utc=True),
                     structlog.processors.format_exc_info,
                     structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"])],
-        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
+        logger_factory=Lines,
         cache_logger_on_first_use=True)
     return structlog.get_logger().bind(node=name)
 
--- a/wheatroute/net/servers.py
+++ b/wheatroute/net/servers.py
@@ -196,7 +196,10 @@
         if self._open >= self._most and not self._make_room():
             raise UnreachedError(Reason.ROOM)
         place, since = self._places[server], time.monotonic()
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as trouble:  # no descriptor
+            raise UnreachedError(Reason.ROOM) from trouble
         sock.setblocking(False)
         self._open += 1
         reason = Reason.UNREACHED
