--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -249,3 +249,15 @@
     node = await start(new, old, discovery=told)  # of the same name: what is known at start is the last
     await trio.sleep(0.2)
     assert (await node.ask())[0] == 200 and len(new.got) == 1
+
+
+@story
+async def test_a_caller_that_asks_ahead_gets_one_answer_for_each_command(start):
+    peer = Peer(OK)
+    node = await start(peer)
+    stream = await node.connect()
+    await stream.send_all(node.message() * 3 + node.message(body="x" * 50000, kind="place") * 3)
+    got = b""
+    while got.count(b"HTTP/1.1 200 ") < 6:
+        got += await stream.receive_some()
+    assert len(peer.got) == 6
--- a/wheatroute/net/callers.py
+++ b/wheatroute/net/callers.py
@@ -9,6 +9,7 @@
 import re
 import socket
 import time
+from math import inf
 from typing import Any
 from urllib.parse import unquote
 
@@ -46,8 +47,23 @@
     return float(found[1]) / _UNITS[found[2]]
 
 
+class Caller:
+    """One caller's connection, with one command out at a time."""
+
+    __slots__ = ("line", "scope", "exchange", "ending", "half", "shut", "paused")
+
+    def __init__(self, line: Connection) -> None:
+        self.line = line
+        self.scope = trio.CancelScope()  # in which its task reads
+        self.exchange: Exchange | None = None  # the command that is out
+        self.ending: Reason | None = None  # no more commands are taken, for this reason
+        self.half = False  # part of a message is here
+        self.shut = False  # it is to go if nothing more has come
+        self.paused = False  # it asks far ahead and is not read
+
+
 class Callers:
-    """Everyone who calls this node."""
+    """Everyone who calls this node. Each has a task that reads; answers are written by whoever gives them."""
 
     def __init__(self, boot: dict[str, Any], most: int, rounds: Rounds, discovery: Discovery,
                  log: Any) -> None:
@@ -55,7 +71,7 @@
         self._terms = boot["terms"]["traffic_types"]
         self._longest = max(kind["hard_stop"] for kind in self._terms) or 1.0
         self._most, self._rounds, self._discovery, self._log = most, rounds, discovery, log
-        self._idle: dict[Connection, trio.CancelScope] = {}  # the one idle for longest first
+        self._idle: dict[Caller, None] = {}  # between two messages, the one idle for longest first
         self._open = 0
         self._room = trio.Event()
         self.stopping = False
@@ -67,41 +83,47 @@
 
     async def run(self) -> None:
         """Accepts until the node stops and every caller has its answer."""
-        async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as self._nursery:
             with trio.CancelScope() as self._accepting:
-                await self._accept(nursery)
-            while self._accept_one(nursery):  # guards against callers left in the queue of a closed listener
+                await self._accept()
+            while self._accept_one():  # guards against callers left in the queue of a closed listener
                 pass
             trio.lowlevel.notify_closing(self._listener)
             self._listener.close()
-            for scope in list(self._idle.values()):
-                scope.cancel()
+            for caller in list(self._idle):
+                self._shut(caller)
 
     async def stop(self) -> None:
         """On SIGTERM: answers tell callers to close, idle connections go, new ones come for a while yet."""
         self.stopping = True
-        for scope in list(self._idle.values()):
-            scope.cancel()
+        for caller in list(self._idle):
+            if caller.line.messages:
+                self._shut(caller)
         await trio.sleep(COMING)
         self._accepting.cancel()
 
+    @staticmethod
+    def _shut(caller: Caller) -> None:
+        caller.shut = True
+        caller.scope.cancel()
+
     # connections
 
-    async def _accept(self, nursery: trio.Nursery) -> None:
+    async def _accept(self) -> None:
         while True:
             if self._open >= self._most:
                 await self._wait_for_room()
-            elif not self._accept_one(nursery):
+            elif not self._accept_one():
                 await trio.lowlevel.wait_readable(self._listener)
 
     async def _wait_for_room(self) -> None:
         """At the limit of descriptors the caller idle for longest goes; if none is, accepting waits."""
         self._room = trio.Event()
         if self._idle:
-            next(iter(self._idle.values())).cancel()
+            self._shut(next(iter(self._idle)))
         await self._room.wait()
 
-    def _accept_one(self, nursery: trio.Nursery) -> bool:
+    def _accept_one(self) -> bool:
         try:
             sock, place = self._listener.accept()
         except (BlockingIOError, ConnectionError):
@@ -118,82 +140,84 @@
         self._open += 1
         line = Connection(sock, h11.SERVER, f"{place[0]}:{place[1]}")
         line.since, line.passes = line.since - self._rounds.passes.lag, self._rounds.passes.count
-        nursery.start_soon(self._serve, line)
+        self._nursery.start_soon(self._serve, Caller(line))
         return True
 
-    async def _serve(self, line: Connection) -> None:
-        reason = Reason.FAULT
+    async def _serve(self, caller: Caller) -> None:
+        line, reason = caller.line, Reason.FAULT
+        self._idle[caller] = None
         try:
-            reason = await self._converse(line)
+            reason = await self._read(caller)
         except OSError:
-            reason = Reason.BROKEN
+            reason = Reason.BROKEN if caller.exchange is None else Reason.LEFT
         except Exception:
             self._log.exception("fault")
         finally:
+            self._idle.pop(caller, None)
+            if caller.exchange is not None:
+                self._rounds.left(caller.exchange)
             line.close()
             self._open -= 1
             self._room.set()
             ended(self._log, "caller", line.peer, reason, line.since, line.messages)
 
-    async def _converse(self, line: Connection) -> Reason:
-        """One command after the other; returns why there are no more."""
+    async def _read(self, caller: Caller) -> Reason:
+        """Reads for as long as anything may come, so that a caller that hangs up is noticed at once."""
+        line = caller.line
         while True:
-            reason = await self._idle_until_asked(line)
-            if reason is not None:
-                return reason
-            try:
-                await self._message(line)
-                answer = await self._answer_to(line)
-            except MalformedError as trouble:
-                return await self._turn_away(line, trouble)
-            if answer is None:
-                return Reason.LEFT
-            if not await self._send(line, self._head(answer), answer.body):
-                return Reason.SLOW
-            if not line.next_message():
-                await self._linger(line)
-                return Reason.STOPPING if self.stopping else Reason.ASKED
-
-    async def _idle_until_asked(self, line: Connection) -> Reason | None:
-        """Waits for the first byte of a message; a reason if none will come."""
-        if line.http.trailing_data[0]:
-            return None
-        with trio.CancelScope() as scope:
-            self._idle[line] = scope
-            if self.stopping and line.messages:
-                scope.cancel()
-            try:
-                if not await line.more() and not line.http.trailing_data[0]:
-                    return Reason.CLOSED
-            finally:
-                self._idle.pop(line, None)
-        if not scope.cancelled_caught:
-            return None
-        # guards against a command that came while this was being shut: it is read all the same
-        if not line.quiet():
-            return None if await line.more() else Reason.CLOSED
-        return Reason.STOPPING if self.stopping else Reason.ROOM
-
-    async def _message(self, line: Connection) -> None:
-        """Reads the message whose first bytes are here; half of one and silence ends in bounded time."""
-        if line.parse():
-            return
-        if line.http.they_are_waiting_for_100_continue:
-            line.sock.send(line.http.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
-        with trio.move_on_after(self._longest):
-            await line.message()
-            return
-        raise MalformedError(408, "half a request")
+            with caller.scope:
+                while await line.more():
+                    self._came(caller)
+                    if caller.exchange is not None and len(line.http.trailing_data[0]) > LONGEST_BODY:
+                        caller.paused = True
+                        await trio.sleep_forever()
+                return caller.ending or (Reason.CLOSED if caller.exchange is None else Reason.LEFT)
+            caller.scope = trio.CancelScope()
+            if caller.ending is not None:
+                return caller.ending
+            if caller.half:
+                self._turn_away(caller, MalformedError(408, "half a request"))
+            # guards against a command that came while this was being shut: it is read all the same
+            elif caller.shut and caller.exchange is None and line.quiet():
+                return Reason.STOPPING if self.stopping else Reason.ROOM
+            caller.shut = caller.paused = False
 
     # commands
 
-    async def _answer_to(self, line: Connection) -> Answer | None:
+    def _came(self, caller: Caller) -> None:
+        """Takes the next command if all of it is here and none is out; else the bytes wait in the buffer."""
+        if caller.ending is not None or caller.exchange is not None:
+            return
+        try:
+            if caller.line.parse():
+                self._take(caller)
+            else:
+                self._wait_for_rest(caller)
+        except MalformedError as trouble:
+            self._turn_away(caller, trouble)
+
+    def _wait_for_rest(self, caller: Caller) -> None:
+        """Half a message and silence ends in bounded time."""
+        http = caller.line.http
+        if not caller.half:
+            caller.half = True
+            self._idle.pop(caller, None)
+            caller.scope.deadline = trio.current_time() + self._longest
+        if http.they_are_waiting_for_100_continue:
+            caller.line.sock.send(http.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
+
+    def _take(self, caller: Caller) -> None:
+        line = caller.line
+        if caller.half:
+            caller.half, caller.scope.deadline = False, inf
+        self._idle.pop(caller, None)
         path = unquote(line.head.target.split(b"?", 1)[0].decode("latin-1"))
         if path == "/up":
-            return Answer(200 if self._discovery.known else 503, b"")
-        exchange = self._exchange(line, path)
+            self._answer(caller, Answer(200 if self._discovery.known else 503))
+            return
+        caller.exchange = exchange = self._exchange(line, path)
+        exchange.when_settled = lambda: self._settled(caller)
         self._rounds.arrived(exchange)
-        return await self._await_answer(line, exchange)
 
     def _exchange(self, line: Connection, path: str) -> Exchange:
         """What a caller asks for, or why it cannot be had."""
@@ -224,22 +248,6 @@
             return time.monotonic() - line.since
         return passes.lag
 
-    async def _await_answer(self, line: Connection, exchange: Exchange) -> Answer | None:
-        """The command's answer, or None as soon as its caller has hung up."""
-        while exchange.answer is None:
-            with trio.CancelScope() as scope:
-                exchange.waiting = scope
-                try:
-                    if len(line.http.trailing_data[0]) > LONGEST_BODY:
-                        await trio.sleep_forever()  # a caller that asks far ahead is read no further
-                    gone = not await line.more()
-                except OSError:
-                    gone = True
-                if gone and exchange.answer is None:
-                    self._rounds.left(exchange)
-                    return None
-        return exchange.answer
-
     # answers
 
     def _head(self, answer: Answer) -> h11.Response:
@@ -252,32 +260,75 @@
             headers.append((b"Connection", b"close"))
         return h11.Response(status_code=answer.status, headers=headers, reason=REASONS[answer.status])
 
-    async def _send(self, line: Connection, head: h11.Response, body: bytes) -> bool:
-        """Writes an answer; False for a caller that has not taken it in within the longest hard stop."""
-        if line.send(head, body):
-            return True
-        with trio.move_on_after(self._longest):
-            await line.rest()
-        return line.whole
+    def _settled(self, caller: Caller) -> None:
+        exchange, caller.exchange = caller.exchange, None
+        try:
+            self._answer(caller, exchange.answer)
+        except Exception:  # it must not reach who gave the answer
+            self._log.exception("fault")
+            self._end(caller, Reason.FAULT)
+
+    def _answer(self, caller: Caller, answer: Answer) -> None:
+        self._send(caller, self._head(answer), answer.body)
+
+    def _send(self, caller: Caller, head: h11.Response, body: bytes) -> None:
+        try:
+            if caller.line.send(head, body):
+                self._sent(caller)
+            else:
+                self._nursery.start_soon(self._send_rest, caller)
+        except OSError:
+            self._end(caller, Reason.BROKEN)
+
+    async def _send_rest(self, caller: Caller) -> None:
+        """A caller has as long as the longest hard stop to take its answer in."""
+        try:
+            with trio.move_on_after(self._longest):
+                await caller.line.rest()
+                self._sent(caller)
+                return
+            self._end(caller, Reason.SLOW)
+        except (OSError, trio.ClosedResourceError):
+            self._end(caller, Reason.BROKEN)
 
-    async def _turn_away(self, line: Connection, trouble: MalformedError) -> Reason:
+    def _sent(self, caller: Caller) -> None:
+        """The answer is on its way: makes ready for another command, or for the end."""
+        line = caller.line
+        if caller.ending is not None or not line.next_message():
+            self._linger(caller, caller.ending or (Reason.STOPPING if self.stopping else Reason.ASKED))
+            return
+        self._idle[caller] = None
+        if line.http.trailing_data[0]:
+            self._nursery.start_soon(self._go_on, caller)
+
+    async def _go_on(self, caller: Caller) -> None:
+        """A caller that asked ahead: its next command is here already."""
+        self._came(caller)
+        if caller.paused:
+            caller.scope.cancel()
+
+    def _turn_away(self, caller: Caller, trouble: MalformedError) -> None:
         """A short reason for what cannot be taken, and the end of the connection."""
-        if line.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            body = trouble.reason.encode("ascii", "replace") + b"\n"
-            headers = [(b"Content-Length", b"%d" % len(body)), (b"Content-Type", b"text/plain"),
-                       (b"Connection", b"close")]
-            head = h11.Response(status_code=trouble.status, headers=headers,
-                                reason=REASONS.get(trouble.status, b"Bad Request"))
-            await self._send(line, head, body)
-            await self._linger(line)
-        return Reason.SLOW if trouble.status == 408 else Reason.MALFORMED
+        caller.ending = Reason.SLOW if trouble.status == 408 else Reason.MALFORMED
+        self._idle.pop(caller, None)
+        if caller.line.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self._end(caller, caller.ending)
+            return
+        body = trouble.reason.encode("ascii", "replace") + b"\n"
+        headers = [(b"Content-Length", b"%d" % len(body)), (b"Content-Type", b"text/plain"),
+                   (b"Connection", b"close")]
+        self._send(caller, h11.Response(status_code=trouble.status, headers=headers,
+                                        reason=REASONS.get(trouble.status, b"Bad Request")), body)
 
     @staticmethod
-    async def _linger(line: Connection) -> None:
+    def _linger(caller: Caller, reason: Reason) -> None:
         """Guards against bytes unread at close, which would turn the answer on its way into a reset."""
-        line.sock.shutdown(socket.SHUT_WR)
-        with trio.move_on_after(LINGER):
-            while True:
-                await trio.lowlevel.wait_readable(line.sock)
-                if not line.sock.recv(65536):
-                    return
+        caller.ending = reason
+        caller.line.deaf = True
+        caller.line.sock.shutdown(socket.SHUT_WR)
+        caller.scope.deadline = trio.current_time() + LINGER
+
+    @staticmethod
+    def _end(caller: Caller, reason: Reason) -> None:
+        caller.ending = reason
+        caller.scope.cancel()
--- a/wheatroute/net/connection.py
+++ b/wheatroute/net/connection.py
@@ -28,7 +28,7 @@
 class Connection:
     """A socket with its h11 state; `role` is h11.SERVER towards callers, h11.CLIENT towards servers."""
 
-    __slots__ = ("sock", "http", "since", "messages", "whole", "peer", "head", "longest", "passes",
+    __slots__ = ("sock", "http", "since", "messages", "whole", "peer", "head", "longest", "passes", "deaf",
                  "_parts", "_length", "_unsent")
 
     def __init__(self, sock: socket.socket, role: type, peer: str) -> None:
@@ -38,6 +38,7 @@
         self.messages = 0
         self.passes = 0  # of the event loop when it was accepted
         self.whole = False  # the last message sent was written to its last byte
+        self.deaf = False  # what still comes is thrown away
         self.head: Any = None  # of the message that is being read
         self.longest = LONGEST_BODY
         self._parts: list[bytes] = []  # of its body
@@ -53,7 +54,8 @@
                 data = self.sock.recv(CHUNK)
             except BlockingIOError:
                 continue
-            self.http.receive_data(data)
+            if not self.deaf:
+                self.http.receive_data(data)
             return bool(data)
 
     def parse(self) -> bool:
--- a/wheatroute/net/exchange.py
+++ b/wheatroute/net/exchange.py
@@ -1,11 +1,11 @@
 """One command between its two sides, their only meeting place.
 
 Owns what both sides know of a command: its message, its one final answer and its relays. The caller's side
-makes it and waits on it, the server's side answers it, neither holds a reference to the other. It must
+makes it and writes its answer, the server's side settles it, neither holds a reference to the other. It must
 never hold two answers, and never sends, retries or waits itself.
 """
 
-from typing import Any
+from collections.abc import Callable
 
 import trio
 
@@ -37,7 +37,7 @@
     """One command."""
 
     __slots__ = ("number", "kind", "left", "customer", "repeated", "method", "target", "name", "receipt",
-                 "body", "hard_stop", "over", "answer", "relays", "out", "waiting")
+                 "body", "hard_stop", "over", "answer", "relays", "out", "when_settled")
 
     def __init__(self, method: bytes, target: bytes, name: bytes, receipt: bytes, body: bytes) -> None:
         self.method, self.target, self.name, self.receipt, self.body = method, target, name, receipt, body
@@ -48,15 +48,15 @@
         self.answer: Answer | None = None
         self.relays: list[Relay] = []
         self.out = 0  # relays without an outcome
-        self.waiting: Any = None  # the scope in which the caller's side waits
+        self.when_settled: Callable[[], None] | None = None  # the caller's side writes the answer
 
     def settle(self, answer: Answer) -> bool:
         """Takes the final answer unless the command is over; tells whether it was taken."""
         if self.over:
             return False
         self.over, self.answer = True, answer
-        if self.waiting is not None:
-            self.waiting.cancel()
+        if self.when_settled is not None:
+            self.when_settled()
         return True
 
     def abandon(self) -> bool:
