--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,6 +11,7 @@
 
 from wheatroute.interface import Event, Outcome
 from wheatroute.net import boot
+from wheatroute.net.callers import Callers
 from wheatroute.net.exchange import Answer, Exchange
 from wheatroute.net.rounds import Passes, Rounds
 
@@ -261,3 +262,26 @@
     while got.count(b"HTTP/1.1 200 ") < 6:
         got += await stream.receive_some()
     assert len(peer.got) == 6
+
+
+@story
+async def test_bytes_that_nobody_asked_for_are_no_answer_to_the_next_command(start):
+    peer = Peer(OK + b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray", OK)
+    node = await start(peer)
+    for _ in range(3):
+        status, answer = await node.ask("place", body="b")
+        assert status == 200 and answer.endswith(b"\r\n\r\nok")
+
+
+@story
+async def test_a_caller_that_the_system_cannot_hand_over_is_tried_again(start):
+    node = await start(Peer(OK))
+    right, Callers._accept_one = Callers._accept_one, refuse
+    stream = await node.connect()
+    await trio.sleep(0.05)
+    Callers._accept_one = right
+    assert (await node.ask(stream=stream))[0] == 200
+
+
+def refuse(_callers):
+    raise OSError(24, "Too many open files")
--- a/wheatroute/net/boot.py
+++ b/wheatroute/net/boot.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import re
 from collections.abc import Mapping
 from typing import Any
 
@@ -14,6 +15,7 @@
 
 SPARE_DESCRIPTORS = 32  # for files, the listener, the list and the event loop
 SPARE_SHARE = 0.125  # the same where very few descriptors are allowed
+_PLACE = re.compile(r"((?:[0-9]{1,3}\.){3}[0-9]{1,3}):([0-9]{1,5})\Z")
 
 
 class BootError(Exception):
@@ -21,18 +23,19 @@
 
 
 def address(text: Any) -> tuple[str, int]:
-    """
+    """A place to connect to or listen on; names are none, as looking one up would hold up the whole node.
+
     >>> address("10.0.0.4:8443")
     ('10.0.0.4', 8443)
-    >>> address("10.0.0.4")
+    >>> address("somewhere:80")
     Traceback (most recent call last):
     ...
-    ValueError: no address:port in '10.0.0.4'
+    ValueError: no IPv4 address and port in 'somewhere:80'
     """
-    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not host or not colon or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
-        raise ValueError(f"no address:port in {text!r}")
-    return host, int(port)
+    found = _PLACE.match(text) if isinstance(text, str) else None
+    if found is None or max(map(int, found[1].split("."))) > 255 or not 0 < int(found[2]) < 65536:
+        raise ValueError(f"no IPv4 address and port in {text!r}")
+    return found[1], int(found[2])
 
 
 def read(environment: Mapping[str, str]) -> dict[str, Any]:
--- a/wheatroute/net/callers.py
+++ b/wheatroute/net/callers.py
@@ -5,10 +5,10 @@
 anything but what the exchange holds.
 """
 
-import errno
 import re
 import socket
 import time
+from contextlib import suppress
 from math import inf
 from typing import Any
 from urllib.parse import unquote
@@ -26,13 +26,13 @@
 BACKLOG = 1024
 COMING = 0.5  # seconds after SIGTERM in which new connections still come: 0.4 by the protocol
 FIRST_READ = 3  # passes of the event loop from accepting a connection to reading what lay on it
+AGAIN = 0.1  # seconds until a caller that could not be accepted is tried again
 LINGER = 0.5  # seconds for a caller to take its answer in and close, before what it sent is thrown away
 REASONS = {400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
            413: b"Content Too Large", 431: b"Request Header Fields Too Large", 200: b"OK",
            502: b"Bad Gateway", 503: b"Service Unavailable"}
 _TIME_OUT = re.compile(rb"(\d{1,12}(?:\.\d{1,9})?)([mu])\Z")
 _UNITS = {b"m": 1e3, b"u": 1e6}
-_OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 def time_left(text: bytes) -> float:
@@ -86,8 +86,9 @@
         async with trio.open_nursery() as self._nursery:
             with trio.CancelScope() as self._accepting:
                 await self._accept()
-            while self._accept_one():  # guards against callers left in the queue of a closed listener
-                pass
+            with suppress(OSError):
+                while self._accept_one():  # guards against callers left in the queue of a closed listener
+                    pass
             trio.lowlevel.notify_closing(self._listener)
             self._listener.close()
             for caller in list(self._idle):
@@ -113,8 +114,15 @@
         while True:
             if self._open >= self._most:
                 await self._wait_for_room()
-            elif not self._accept_one():
-                await trio.lowlevel.wait_readable(self._listener)
+                continue
+            try:
+                if not self._accept_one():
+                    await trio.lowlevel.wait_readable(self._listener)
+            except OSError as trouble:
+                # guards against crashing or spinning where the system has no descriptor to give
+                self._log.warning("not-accepted", trouble=str(trouble), open=self._open)
+                with trio.move_on_after(AGAIN):
+                    await self._wait_for_room()
 
     async def _wait_for_room(self) -> None:
         """At the limit of descriptors the caller idle for longest goes; if none is, accepting waits."""
@@ -128,13 +136,6 @@
             sock, place = self._listener.accept()
         except (BlockingIOError, ConnectionError):
             return False
-        except OSError as trouble:
-            if trouble.errno in _OUT_OF_DESCRIPTORS:
-                # guards against spinning: it waits as if at the limit until a connection ends
-                self._most = max(1, self._open)
-                self._log.warning("descriptors", open=self._open)
-                return not self.stopping
-            raise
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._open += 1
--- a/wheatroute/net/discovery.py
+++ b/wheatroute/net/discovery.py
@@ -6,6 +6,7 @@
 
 import errno
 import socket
+from math import isfinite
 from typing import Any
 
 import h11
@@ -84,6 +85,9 @@
                     return
         except (OSError, MalformedError):
             reason = Reason.BROKEN
+        except Exception:
+            reason = Reason.FAULT
+            self._log.exception("fault")
         finally:
             self._shut(line, reason)
 
@@ -96,6 +100,9 @@
                 done, reason = True, Reason.ASKED
         except (OSError, MalformedError):
             reason = Reason.BROKEN
+        except Exception:
+            reason = Reason.FAULT
+            self._log.exception("fault")
         finally:
             self._shut(line, reason)
         if not done:
@@ -161,6 +168,8 @@
         state = STATES.get(one.get("state", "in_service"), State.DRAINING)
         size, cell = float(one.get("weight", 1.0)), int(one.get("cell", 0))
         started = float(one.get("started_ms", 0)) / 1000.0
+        if not (isfinite(size) and isfinite(started)):
+            raise ValueError("a figure that is none")
         zone, model = str(one.get("zone", "")), str(one.get("kind", ""))
         place = address(one["addr"]) if state != State.GONE or "addr" in one else None
         server = self._numbers[one["id"]]
--- a/wheatroute/net/servers.py
+++ b/wheatroute/net/servers.py
@@ -227,7 +227,12 @@
     def _keep(self, server: int, wire: "_Wire") -> None:
         """Takes a connection back for the next relay if it can carry one."""
         line = wire.line
-        if line is not None and (not line.messages or line.next_message()):
+        if line is None:
+            return
+        if line.http.trailing_data[0]:
+            # guards against bytes that nobody asked for, which would pass for the next command's answer
+            wire.reason = Reason.MALFORMED
+        elif not line.messages or line.next_message():
             self._idle.setdefault(server, []).append((now(), line))
             wire.line = None
         else:
