--- a/wheatroute/net/connection.py
+++ b/wheatroute/net/connection.py
@@ -120,6 +120,7 @@
         """Makes ready for another message; False if this connection takes no more."""
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
             self.http.start_next_cycle()
+            self.whole = False
             return True
         return False
 
--- a/wheatroute/net/discovery.py
+++ b/wheatroute/net/discovery.py
@@ -6,6 +6,7 @@
 
 import errno
 import socket
+from collections.abc import Awaitable, Callable
 from math import isfinite
 from typing import Any
 
@@ -64,59 +65,56 @@
         """Watches for as long as that works; where changes come unasked it also goes on after a failure."""
         with scope:
             while True:
-                await self._follow()
+                await self._talk(self._follow)
                 self._rounds.happened(Event.LIST_FAILED)
                 if self._on_request:
                     return
                 await trio.sleep(AGAIN)
 
-    async def _follow(self) -> None:
-        """One connection with one watch after the other, until it fails."""
-        line, reason = None, Reason.STOPPING
-        try:
-            with trio.move_on_after(LATE):
-                line = await self._connect()
-            while line is not None:
-                since = b"after=%d&wait_ms=%d" % (self._version, WAIT * 1000) if self._version >= 0 else b""
-                with trio.move_on_after(WAIT + LATE) as limit:
-                    self._take(await self._call(line, PATH + b"?" + since if since else PATH))
-                if limit.cancelled_caught:
-                    reason = Reason.TIMED_OUT
-                    return
-        except (OSError, MalformedError):
-            reason = Reason.BROKEN
-        except Exception:
-            reason = Reason.FAULT
-            self._log.exception("fault")
-        finally:
-            self._shut(line, reason)
+    async def _follow(self, line: Connection) -> Reason:
+        """One watch after the other, until one is not answered."""
+        while True:
+            since = b"?after=%d&wait_ms=%d" % (self._version, WAIT * 1000) if self._version >= 0 else b""
+            with trio.move_on_after(WAIT + LATE) as limit:
+                self._take(await self._call(line, PATH + since))
+            if limit.cancelled_caught:
+                return Reason.TIMED_OUT
 
     async def _fetch(self) -> None:
-        line, reason, done = None, Reason.TIMED_OUT, False
+        if await self._talk(self._whole_list) != Reason.ASKED:
+            self._rounds.happened(Event.LIST_FAILED)
+
+    async def _whole_list(self, line: Connection) -> Reason:
+        with trio.move_on_after(PATIENCE):
+            self._take(await self._call(line, PATH))
+            return Reason.ASKED
+        return Reason.TIMED_OUT
+
+    async def _talk(self, use: Callable[[Connection], Awaitable[Reason]]) -> Reason:
+        """Gives `use` a connection to the list service; returns why that ended."""
+        line, reason = None, Reason.STOPPING
         try:
-            with trio.move_on_after(PATIENCE):
-                line = await self._connect()
-                self._take(await self._call(line, PATH))
-                done, reason = True, Reason.ASKED
+            line = await self._connect()
+            reason = await use(line)
         except (OSError, MalformedError):
             reason = Reason.BROKEN
         except Exception:
             reason = Reason.FAULT
             self._log.exception("fault")
         finally:
-            self._shut(line, reason)
-        if not done:
-            self._rounds.happened(Event.LIST_FAILED)
+            if line is not None:
+                line.close()
+                ended(self._log, "list", line.peer, reason, line.since, line.messages)
+        return reason
 
     async def _connect(self) -> Connection:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         try:
             if sock.connect_ex(self._place) == errno.EINPROGRESS:
-                await trio.lowlevel.wait_writable(sock)
-            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            if code:
-                raise OSError(code, "the list service cannot be reached")
+                with trio.move_on_after(LATE):
+                    await trio.lowlevel.wait_writable(sock)
+            sock.getpeername()  # an error unless it is connected
             line = Connection(sock, h11.CLIENT, f"{self._place[0]}:{self._place[1]}")
             line.longest = LONGEST_LIST
             return line
@@ -138,11 +136,6 @@
         except orjson.JSONDecodeError as trouble:
             raise MalformedError(0, "list is not JSON") from trouble
 
-    def _shut(self, line: Connection | None, reason: Reason) -> None:
-        if line is not None:
-            line.close()
-            ended(self._log, "list", line.peer, reason, line.since, line.messages)
-
     # entries
 
     def _take(self, told: Any) -> None:
--- a/wheatroute/net/servers.py
+++ b/wheatroute/net/servers.py
@@ -232,6 +232,9 @@
         if line.http.trailing_data[0]:
             # guards against bytes that nobody asked for, which would pass for the next command's answer
             wire.reason = Reason.MALFORMED
+        elif line.peer != "{}:{}".format(*self._places[server]):
+            # guards against relays into nothing: the server got a new address while this was in use
+            wire.reason = Reason.SHUT
         elif not line.messages or line.next_message():
             self._idle.setdefault(server, []).append((now(), line))
             wire.line = None
