--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 test: build ## run all tests
 	.venv/bin/python -m pytest
 
-lint: build ## check style and types of mistakes
+lint: build ## check style and common mistakes
 	.venv/bin/ruff check .
 
 run: build ## one node, with the settings of examples/node.json
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -320,3 +320,11 @@
         await trio.sleep(0.05)
     assert [(await node.ask())[0] for _ in range(8)] == [200] * 8 and not draining.got
     assert b"after=9&" in told.got[3]
+
+
+@story
+async def test_a_malformed_load_report_spoils_no_answer(start):
+    for text in (b"TEXT active=3, =, x", b"nonsense", b"TEXT active=-1", b"TEXT active=nan", b"\xff"):
+        peer = Peer(OK.replace(b"\r\n\r\n", b"\r\nServer-Load: " + text + b"\r\n\r\n"))
+        node = await start(peer)
+        assert (await node.ask())[0] == 200, text
--- a/wheatroute/net/servers.py
+++ b/wheatroute/net/servers.py
@@ -33,13 +33,14 @@
         self.reason = reason
 
 
-def report_of(text: str, log: Any = None) -> dict[str, float] | None:
-    """A load report under our names; what is malformed is left out.
+def report_of(text: str) -> tuple[dict[str, float] | None, str]:
+    """A load report under our names, and the last part of it that was malformed and is left out.
 
     >>> report_of("TEXT inflight=7, queue=2, util=0.61, novel=x")
-    {'held': 7.0, 'queued': 2.0, 'busy': 0.61}
+    ({'held': 7.0, 'queued': 2.0, 'busy': 0.61}, 'novel=x')
     """
     found: dict[str, float] = {}
+    malformed = ""
     for part in text.removeprefix("TEXT ").split(","):
         name, _, figure = part.strip().partition("=")
         try:
@@ -48,9 +49,9 @@
             value = -1.0
         if 0.0 <= value < float("inf"):
             found[words.FIGURES.get(name, name)] = value
-        elif log is not None and text:
-            log.warning("report-skipped", part=part[:80])
-    return found or None
+        else:
+            malformed = part.strip()
+    return found or None, malformed
 
 
 class Servers:
@@ -63,6 +64,7 @@
         self._most, self._rounds, self._log = most, rounds, log
         self._places: dict[int, tuple[str, int]] = {}
         self._idle: dict[int, list[tuple[float, Connection]]] = {}  # by server, the last used at the end
+        self._malformed: set[int] = set()  # servers whose malformed reports were logged
         self._open = 0
         self._nursery: trio.Nursery
 
@@ -128,8 +130,7 @@
         if outcome == Outcome.HANDLED:
             exchange.settle(Answer(200, body, headers.get(b"content-type", b"")))
         self._keep(relay.server, wire)
-        load = headers.get(b"server-load")
-        return outcome, report_of(load.decode("latin-1"), self._log) if load else None
+        return outcome, self._report(relay.server, headers.get(b"server-load"))
 
     def _request(self, exchange: Exchange, relay: Relay) -> h11.Request:
         host, port = self._places[relay.server]
@@ -152,6 +153,17 @@
             raise MalformedError(0, "an answer without an end")
         return line.head.status_code, headers, line.body
 
+    def _report(self, server: int, load: bytes | None) -> dict[str, float] | None:
+        if not load:
+            return None
+        report, malformed = report_of(load.decode("latin-1"))
+        if malformed and server not in self._malformed:
+            # once for each server: a line for each answer would cost more than the answers
+            self._malformed.add(server)
+            place = "{}:{}".format(*self._places[server])
+            self._log.warning("report-skipped", peer=place, part=malformed[:80])
+        return report
+
     # probes
 
     def probe(self, server: int) -> None:
@@ -168,8 +180,8 @@
                 wire.line.send(h11.Request(method=b"GET", target=self._load_path, headers=[(b"Host", place)]))
                 status, headers, body = await self._answer(wire.line)
                 outcome = Outcome.HANDLED if status == 200 else Outcome.ERROR
-                load = headers.get(b"server-load", body if self._load_path != b"/alive" else b"")
-                report = report_of(load.decode("latin-1"), self._log) if load else None
+                load = headers.get(b"server-load", body if self._load_path != b"/alive" else None)
+                report = self._report(server, load)
                 self._keep(server, wire)
         except UnreachedError:
             outcome = Outcome.UNCONNECTED
