Commands beyond the descriptors are refused at once instead of lost in the accept queue

Checked: no fault or overdue line, CPU at most 0.55 of a core, so not starved; caller connections at their most. Cause: Callers._accept waited while every caller had a command out, and what lay in the accept queue counts as taken.

--- a/wheatroute/__main__.py
+++ b/wheatroute/__main__.py
@@ -18,7 +18,7 @@
 from wheatroute.net.rounds import Rounds
 from wheatroute.net.servers import Servers
 
-CALLERS_SHARE = 0.65  # of the connections: a held command has its caller's, but none to a server yet
+CALLERS_SHARE = 0.55  # of the connections: a command has its caller's, and while it is relayed a server's
 
 
 async def serve_node(boot: dict[str, Any], log: Any) -> None:
--- a/wheatroute/net/callers.py
+++ b/wheatroute/net/callers.py
@@ -19,13 +19,14 @@
 from wheatroute.interface import Effect
 from wheatroute.net.connection import LONGEST_BODY, Connection, MalformedError
 from wheatroute.net.discovery import Discovery
-from wheatroute.net.exchange import Answer, Exchange
+from wheatroute.net.exchange import BOUNCED, Answer, Exchange
 from wheatroute.net.log import Reason, ended
 from wheatroute.net.rounds import Rounds
 
 BACKLOG = 1024
 COMING = 0.5  # seconds after SIGTERM in which new connections still come: 0.4 by the protocol
 FIRST_READ = 3  # passes of the event loop from accepting a connection to reading what lay on it
+RESERVE = 0.1  # of the callers' connections are for refusing those who find no room
 AGAIN = 0.1  # seconds until a caller that could not be accepted is tried again
 LINGER = 0.5  # seconds for a caller to take its answer in and close, before what it sent is thrown away
 REASONS = {400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
@@ -70,7 +71,14 @@
         self._kinds, self._customers = boot["traffic_types"], boot["customers"]
         self._terms = boot["terms"]["traffic_types"]
         self._longest = max(kind["hard_stop"] for kind in self._terms) or 1.0
-        self._most, self._rounds, self._discovery, self._log = most, rounds, discovery, log
+        self._rounds, self._discovery, self._log = rounds, discovery, log
+        # the rest is for callers that can only be told that there is no room
+        self._most = most - max(2, int(most * RESERVE))
+        self._most_open = most
+        self._most_out = min(self._most, boot["terms"]["most_open"] or self._most)
+        self._advice = boot["terms"]["longest_advice"] if boot["terms"]["bounce_advice"] else 0.0
+        self._out = 0  # commands out
+        self._refused, self._said = 0, -inf  # commands refused for want of room, and when that was logged
         self._idle: dict[Caller, None] = {}  # between two messages, the one idle for longest first
         self._open = 0
         self._room = trio.Event()
@@ -103,6 +111,11 @@
         await trio.sleep(COMING)
         self._accepting.cancel()
 
+    def _reason_to_shut(self) -> Reason:
+        if self.stopping:
+            return Reason.STOPPING
+        return Reason.ROOM if self._open >= self._most else Reason.ASKED
+
     @staticmethod
     def _shut(caller: Caller) -> None:
         caller.shut = True
@@ -113,6 +126,8 @@
     async def _accept(self) -> None:
         while True:
             if self._open >= self._most:
+                self._make_room()
+            if self._open >= self._most_open:
                 await self._wait_for_room()
                 continue
             try:
@@ -124,11 +139,20 @@
                 with trio.move_on_after(AGAIN):
                     await self._wait_for_room()
 
+    def _make_room(self) -> None:
+        """The caller idle for longest goes, but no new one that has not asked yet.
+
+        Guards against a command lost to two closings: its caller sends it once more on a new connection if
+        the first was closed before it was read, but not a third time.
+        """
+        for caller in self._idle:
+            if caller.line.messages or time.monotonic() - caller.line.since > self._longest:
+                self._shut(caller)
+                return
+
     async def _wait_for_room(self) -> None:
-        """At the limit of descriptors the caller idle for longest goes; if none is, accepting waits."""
+        """At the limit of descriptors accepting waits until a caller goes."""
         self._room = trio.Event()
-        if self._idle:
-            self._shut(next(iter(self._idle)))
         await self._room.wait()
 
     def _accept_one(self) -> bool:
@@ -156,6 +180,7 @@
         finally:
             self._idle.pop(caller, None)
             if caller.exchange is not None:
+                self._out -= 1
                 self._rounds.left(caller.exchange)
             line.close()
             self._open -= 1
@@ -180,7 +205,7 @@
                 self._turn_away(caller, MalformedError(408, "half a request"))
             # guards against a command that came while this was being shut: it is read all the same
             elif caller.shut and caller.exchange is None and line.quiet():
-                return Reason.STOPPING if self.stopping else Reason.ROOM
+                return self._reason_to_shut()
             caller.shut = caller.paused = False
 
     # commands
@@ -216,10 +241,27 @@
         if path == "/up":
             self._answer(caller, Answer(200 if self._discovery.known else 503))
             return
-        caller.exchange = exchange = self._exchange(line, path)
+        exchange = self._exchange(line, path)
+        if self._out >= self._most_out:
+            self._refuse(caller)
+            return
+        self._out += 1
+        caller.exchange = exchange
         exchange.when_settled = lambda: self._settled(caller)
         self._rounds.arrived(exchange)
 
+    def _refuse(self, caller: Caller) -> None:
+        """More commands out than the node may hold are refused before they reach the module.
+
+        The simulator does so at the settings' most; here descriptors may come first. Guards against commands
+        lost unread in the queue of a node that has no descriptor left to accept them with.
+        """
+        self._refused += 1
+        if trio.current_time() - self._said > 1.0:
+            self._log.warning("full", out=self._out, refused=self._refused)
+            self._said, self._refused = trio.current_time(), 0
+        self._answer(caller, Answer(BOUNCED, stay_away=self._advice))
+
     def _exchange(self, line: Connection, path: str) -> Exchange:
         """What a caller asks for, or why it cannot be had."""
         kind = self._kinds.get(path.lstrip("/").split("/", 1)[0])
@@ -257,12 +299,13 @@
             headers.append((b"Content-Type", answer.kind))
         if answer.stay_away > 0.0:
             headers.append((b"Retry-After", b"%.3f" % answer.stay_away))
-        if self.stopping:
+        if self.stopping or self._open > self._most:
             headers.append((b"Connection", b"close"))
         return h11.Response(status_code=answer.status, headers=headers, reason=REASONS[answer.status])
 
     def _settled(self, caller: Caller) -> None:
         exchange, caller.exchange = caller.exchange, None
+        self._out -= 1
         try:
             self._answer(caller, exchange.answer)
         except Exception:  # it must not reach who gave the answer
@@ -296,7 +339,7 @@
         """The answer is on its way: makes ready for another command, or for the end."""
         line = caller.line
         if caller.ending is not None or not line.next_message():
-            self._linger(caller, caller.ending or (Reason.STOPPING if self.stopping else Reason.ASKED))
+            self._linger(caller, caller.ending or self._reason_to_shut())
             return
         self._idle[caller] = None
         if line.http.trailing_data[0]:
