--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,6 +8,7 @@
 
 import h11
 import pytest
+import structlog
 import trio
 from fakehost import ERROR, FULL, OK, RESET, SILENT, STRAY, Peer, listed, read_message, story
 
@@ -199,7 +200,7 @@
 
 def collected(node):
     """A `Rounds` without sockets, its module replaced by a list of the events it was given."""
-    rounds, given = Rounds(node, "1", None), []
+    rounds, given = Rounds(node, "1", structlog.get_logger()), []
     rounds.servers = Sides()
     rounds._balancer = type("Module", (), {"round": lambda self, now, events, writer: given.extend(events)})()
     return rounds, given
@@ -231,6 +232,25 @@
     trio.run(tell)
 
 
+def test_a_command_ended_as_overdue_may_still_be_named_by_the_module_in_that_round():
+    async def tell():
+        rounds, _ = collected(TERMS)
+
+        def again(self, now, events, writer):
+            for event in events:
+                if event[0] == Event.RETURNED and event[4] == Outcome.ERROR:
+                    writer.relay(event[1], 4, 1.0)
+        exchange = command()
+        rounds.arrived(exchange)
+        rounds.relay(0, 3, 1.0)
+        rounds.returned(exchange, exchange.relays[0], Outcome.ERROR, None)
+        type(rounds._balancer).round = again
+        rounds.round(rounds._stops[0][0] + 1.0)  # held up until after the hard stop
+        assert exchange.answer.status == 502 and len(rounds.servers.started) == 1
+        assert not rounds._wakes  # no mistake was met
+    trio.run(tell)
+
+
 def test_time_that_a_command_lay_unread_counts_from_the_pass_before():
     passes = Passes()
     passes.after_io_wait(0.0)
