--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -222,7 +222,7 @@
 
 @story
 async def test_a_stopping_node_serves_who_still_comes_and_answers_all_it_took(start):
-    node = await start(Peer(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), Peer(SILENT, name="t"))
+    node = await start(Peer(CUT_OFF.replace(b": 10", b": 4")), Peer(SILENT, name="t"), nodes=2)
     idle, busy = await node.connect(), await node.connect()
     assert (await node.ask("view", stream=idle))[0] == 200
     await busy.send_all(node.message("view", time_out="900m"))
@@ -237,6 +237,23 @@
         await node.done.wait()
 
 
+@story
+async def test_a_stopping_node_that_is_alone_goes_on_and_says_in_the_end_when_to_come_back(start):
+    node = await start(Peer(OK), hard_stop=3.0)
+    kept, stray = await node.connect(), await node.connect()
+    os.kill(os.getpid(), signal.SIGTERM)
+    await trio.sleep(0.6)
+    assert (await node.ask("place", body="b", stream=kept))[0] == 200
+    status = 200
+    while status == 200:
+        status, answer = await node.ask("place", body="b", stream=kept)
+        await trio.sleep(0.05)
+    assert status == 503 and b"retry-after: 2.0" in answer.lower()
+    assert await read_message(kept) is None and await read_message(stray) is None
+    with trio.fail_after(1):
+        await node.done.wait()
+
+
 @story
 async def test_no_relay_goes_to_a_server_once_the_list_says_that_it_drains(start):
     draining, other = Peer(OK), Peer(OK, name="t")
--- a/wheatroute/net/callers.py
+++ b/wheatroute/net/callers.py
@@ -25,6 +25,10 @@
 
 BACKLOG = 1024
 COMING = 0.5  # seconds after SIGTERM in which new connections still come: 0.4 by the protocol
+LONGEST = 3.0  # seconds: a node told to stop is killed after this or the longest hard stop
+KILLED = 0.7  # and so much more, whichever is less
+SPARED = 0.4  # seconds before that by which a node that stops has answered all
+STAYING = 0.75  # of the time until then in which a node that is alone takes commands as ever
 FIRST_READ = 3  # passes of the event loop from accepting a connection to reading what lay on it
 RESERVE = 0.1  # of the callers' connections are for refusing those who find no room
 PATIENCE = 2.0  # seconds for a whole first message; the protocol owes callers an error or a close after 3
@@ -90,7 +94,9 @@
         self._asked: deque[tuple[float, bytes]] = deque()  # and until when they are remembered
         self._open = 0
         self._room = trio.Event()
-        self.stopping = False
+        self._alone = boot["terms"]["nodes"] == 1
+        self._until = inf  # by then every command must have its answer
+        self.stopping = self._leaving = False
         self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._listener.setblocking(False)
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -111,12 +117,23 @@
                 self._shut(caller)
 
     async def stop(self) -> None:
-        """On SIGTERM: answers tell callers to close, idle connections go, new ones come for a while yet."""
+        """On SIGTERM: answers tell callers to close, idle connections go, new ones come for a while yet.
+
+        A node that is alone has no other to leave its callers to: it goes on before that for as long as what
+        it takes can be answered, then refuses for the rest of its time and tells callers when to come back.
+        Guards against callers that find nobody for all of the time until the node is killed and starts anew.
+        """
+        if self._alone:
+            last = min(self._longest, LONGEST) + KILLED - SPARED
+            self._until = trio.current_time() + last
+            await trio.sleep(last * STAYING)
+            self._leaving = True
+            await trio.sleep(last * (1.0 - STAYING))
         self.stopping = True
         for caller in list(self._idle):
             if caller.line.messages:
                 self._shut(caller)
-        await trio.sleep(COMING)
+        await trio.sleep(0.0 if self._alone else COMING)
         self._accepting.cancel()
 
     def _reason_to_shut(self) -> Reason:
@@ -190,7 +207,7 @@
         try:
             reason = await self._read(caller)
         except OSError:
-            reason = Reason.BROKEN if caller.exchange is None else Reason.LEFT
+            reason = caller.ending or (Reason.BROKEN if caller.exchange is None else Reason.LEFT)
         except Exception:
             self._log.exception("fault")
         finally:
@@ -261,6 +278,9 @@
             self._answer(caller, Answer(200 if self._discovery.known else 503))
             return
         exchange = self._exchange(line, path)
+        if self._leaving:
+            self._answer(caller, Answer(BOUNCED, stay_away=self._advice))
+            return
         if self._out >= self._most_out:
             self._refuse(caller)
             return
@@ -302,7 +322,8 @@
             raise MalformedError(400, "Idempotency-Key does not suit this traffic type")
         exchange = Exchange(request.method, request.target, name, receipt, line.body)
         exchange.kind = kind
-        exchange.left = max(0.0, time_left(headers.get(b"request-timeout", b"")) - self._lag(line))
+        left = time_left(headers.get(b"request-timeout", b"")) - self._lag(line)
+        exchange.left = max(0.0, min(left, self._until - trio.current_time()))
         exchange.customer = self._customers.get(headers.get(b"tenant", b"").decode("latin-1"), -1)
         exchange.repeated = headers.get(b"client-retry", b"").strip() == b"1"
         self._remember(name)
