--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -264,6 +264,7 @@
     await trio.sleep(0.05)
     os.kill(os.getpid(), signal.SIGTERM)
     await trio.sleep(0.1)
+    assert (await node.ask("view", stream=idle))[0] in (200, 503)
     assert await read_message(idle) is None
     status, answer = await node.ask("view")
     assert status in (200, 503) and b"connection: close" in answer.lower()
--- a/wheatroute/net/callers.py
+++ b/wheatroute/net/callers.py
@@ -24,11 +24,10 @@
 from wheatroute.net.rounds import Rounds
 
 BACKLOG = 1024
-COMING = 0.5  # seconds after SIGTERM in which new connections still come: 0.4 by the protocol
 LONGEST = 3.0  # seconds: a node told to stop is killed after this or the longest hard stop
 KILLED = 0.7  # and so much more, whichever is less
 SPARED = 0.4  # seconds before that by which a node that stops has answered all
-STAYING = 0.75  # of the time until then in which a node that is alone takes commands as ever
+STAYING = 0.85  # of the time until then in which it takes commands as ever
 FIRST_READ = 3  # passes of the event loop from accepting a connection to reading what lay on it
 RESERVE = 0.1  # of the callers' connections are for refusing those who find no room
 PATIENCE = 2.0  # seconds for a whole first message; the protocol owes callers an error or a close after 3
@@ -117,24 +116,28 @@
                 self._shut(caller)
 
     async def stop(self) -> None:
-        """On SIGTERM: answers tell callers to close, idle connections go, new ones come for a while yet.
+        """On SIGTERM: goes on for as long as what is taken can be answered before the node is killed.
 
-        A node that is alone has no other to leave its callers to: it goes on before that for as long as what
-        it takes can be answered, then refuses for the rest of its time and tells callers when to come back.
-        Guards against callers that find nobody for all of the time until the node is killed and starts anew.
+        Then answers tell callers to close and idle connections go; a node that is alone has no other to leave
+        its callers to, refuses for the rest of its time and tells them when to come back. Guards against
+        callers that find nobody until the node starts anew, as the next one may be stopped by then.
         """
+        last = min(self._longest, LONGEST) + KILLED - SPARED
+        self._until = trio.current_time() + last
+        await trio.sleep(last * STAYING)
         if self._alone:
-            last = min(self._longest, LONGEST) + KILLED - SPARED
-            self._until = trio.current_time() + last
-            await trio.sleep(last * STAYING)
             self._leaving = True
-            await trio.sleep(last * (1.0 - STAYING))
+        else:
+            self._stop()
+        await trio.sleep(last * (1.0 - STAYING))
+        self._stop()
+        self._accepting.cancel()
+
+    def _stop(self) -> None:
         self.stopping = True
         for caller in list(self._idle):
             if caller.line.messages:
                 self._shut(caller)
-        await trio.sleep(0.0 if self._alone else COMING)
-        self._accepting.cancel()
 
     def _reason_to_shut(self) -> Reason:
         if self.stopping:
