Answers longer than 64 KiB are passed on, up to a part in 32 of the memory

The bound now comes from the memory that the node is told: 1 MiB at 32 MB, 6 at 192, so that an answer said to have 3 GB is still turned away from its head. Ruled out: the guard against answers that stand still (fired twice).

--- a/wheatroute/__main__.py
+++ b/wheatroute/__main__.py
@@ -27,7 +27,7 @@
     """Runs until SIGTERM or SIGINT and all that was taken is answered."""
     most = boot["descriptors"]
     rounds = Rounds(boot["terms"], boot["seed"], log)
-    servers = Servers(boot["terms"], most - int(most * CALLERS_SHARE), rounds, log)
+    servers = Servers(boot["terms"], most - int(most * CALLERS_SHARE), boot["longest_answer"], rounds, log)
     rounds.servers = servers
     rounds.discovery = discovery = Discovery(boot, rounds, servers, log)
     callers = Callers(boot, int(most * CALLERS_SHARE), rounds, discovery, log)
--- a/wheatroute/net/boot.py
+++ b/wheatroute/net/boot.py
@@ -7,14 +7,18 @@
 import os
 import re
 from collections.abc import Mapping
+from math import inf
 from typing import Any
 
 import orjson
 
 from wheatroute import words
+from wheatroute.net.connection import LONGEST_BODY
 
 SPARE_DESCRIPTORS = 32  # for files, the listener, the list and the event loop
 SPARE_SHARE = 0.125  # the same where very few descriptors are allowed
+ANSWER_SHARE = 32  # one answer may take up this part of the node's memory
+USUAL_MEMORY = 64.0  # MB, where no limit is told
 FIXED = ("listen", "descriptors", "settings")  # what a running node keeps until it starts again
 _PLACE = re.compile(r"((?:[0-9]{1,3}\.){3}[0-9]{1,3}):([0-9]{1,5})\Z")
 
@@ -55,6 +59,7 @@
     boot["seed"] = str(told.get("seed", ""))
     boot["known"] = told.get("known") if isinstance(told.get("known"), dict) else {}
     boot["descriptors"] = _descriptors(told.get("limits"))
+    boot["longest_answer"] = _longest_answer(told.get("limits"))
     boot["zones"] = _numbered(settings, "dcs")
     boot["models"] = _numbered(settings, "skus")
     boot["customers"] = {one["name"]: i for i, one in enumerate(_named(settings, "tenants"))}
@@ -110,3 +115,14 @@
     if not isinstance(most, int) or most < 16:
         raise BootError("no usable \"limits.sockets\"")
     return most - min(SPARE_DESCRIPTORS, int(most * SPARE_SHARE) + 6)
+
+
+def _longest_answer(limits: Any) -> int:
+    """Bytes that a server's answer may have.
+
+    Guards against good answers taken for spoilt: services answer with more than the 64 KiB that the protocol
+    names, while an answer of any length would cost the node its memory.
+    """
+    memory = limits.get("memory_mb") if isinstance(limits, dict) else None
+    usable = isinstance(memory, int | float) and 0 < memory < inf
+    return max(LONGEST_BODY, int((memory if usable else USUAL_MEMORY) * 2**20 / ANSWER_SHARE))
--- a/wheatroute/net/connection.py
+++ b/wheatroute/net/connection.py
@@ -14,7 +14,7 @@
 
 CHUNK = 65536  # most bytes read at once
 LONGEST_HEAD = 16384
-LONGEST_BODY = 65536  # the protocol's bound on every body
+LONGEST_BODY = 65536  # the protocol's bound on every body, which callers keep to
 
 
 class MalformedError(Exception):
--- a/wheatroute/net/servers.py
+++ b/wheatroute/net/servers.py
@@ -60,11 +60,11 @@
 class Servers:
     """Where servers are, and the connections to them."""
 
-    def __init__(self, terms: dict[str, Any], most: int, rounds: Rounds, log: Any) -> None:
+    def __init__(self, terms: dict[str, Any], most: int, longest: int, rounds: Rounds, log: Any) -> None:
         self._connect_within = terms["connect_within"] or float("inf")
         self._idle_closed = terms["idle_closed"]
         self._load_path = b"/metrics/load" if terms["report_how"] != "none" else b"/alive"
-        self._most, self._rounds, self._log = most, rounds, log
+        self._most, self._longest, self._rounds, self._log = most, longest, rounds, log
         self._places: dict[int, tuple[str, int]] = {}
         self._idle: dict[int, list[tuple[float, Connection]]] = {}  # by server, the last used at the end
         self._effects = [kind["effect"] for kind in terms["traffic_types"]]
@@ -278,6 +278,7 @@
                     code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if code == 0:
                 line = Connection(sock, h11.CLIENT, f"{place[0]}:{place[1]}")
+                line.longest = self._longest
                 reason = None
                 return line
             reason = Reason.REFUSED if code == errno.ECONNREFUSED else Reason.UNREACHED
