--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -47,6 +47,20 @@
     assert not servers.barred[0] and host.sent(0, before) >= 8  # of 60 on four servers, at once
 
 
+def test_a_type_that_hangs_at_some_servers_goes_elsewhere_and_takes_no_room_from_others():
+    def answer(server, relay):
+        return NEVER if server < 2 and relay[0] % 3 == 0 and host.now > 104.0 else HANDLED
+    host = Host(answer=answer)
+    for n in range(1200):
+        host.ask(PURE if n % 3 else EFFECTFUL)
+        host.step(0.01)
+    late = [(number, server) for what, when, number, server in host.did if what == "relay" and when > 104.0]
+    hung = [number for number, server in late if number % 3 == 0 and server < 2]
+    assert len(set(host.relays) - {number for number, _ in late}) <= 401  # none had to wait in vain
+    assert len(hung) < 55  # of 266 the even half would be 133
+    assert all(word == "handled" for number, word in host.final.items() if number % 3)
+
+
 def test_an_effectful_command_is_relayed_again_only_when_it_provably_never_ran():
     full = Host(answer=lambda server, relay: (Outcome.FULL, 0.01) if relay[1] == 0 else HANDLED)
     number = full.ask(EFFECTFUL)
--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -2,11 +2,8 @@
 
 How to call it: make one `Balancer(terms, chance)` for each node, then call `round(now, events, writer)`
 once a round with all that came in; the decisions are written straight into `writer` during that call.
-The shape of the events, of the terms' values and of the writer is in `wheatroute/interface.py`. There is
-no clock here but `now`, no chance but the `random.Random` passed in, and nothing is shared.
-
-Reading order: the constants, `Command` (the account that keeps the first two rules), `Servers` (what this
-node knows of each server), `Pace` (latencies, the copy timer, the window), `Balancer`.
+Events, terms and writer are those of `wheatroute/interface.py`. There is no clock here but `now`, no
+chance but the `random.Random` passed in, and nothing is shared.
 """
 
 from __future__ import annotations
@@ -50,6 +47,7 @@
 IDLE_STEPS = 7  # how long a connection was idle, in doublings of half a second
 HASTE = 1.25  # usual latencies that a held command must have left when it starts
 SILENT = 3.0  # a server with a relay out for this multiple of the p95, nothing heard since, hangs
+STUCK = 5.0  # a relay out for this multiple of its type's mean, while its server answers others, is stuck
 OUTLIER = 3.0  # a server this multiple slower than the median server is left to trial relays
 FAILING = 0.3  # share of a server's answers that are errors
 RECALL = 0.97  # what is left of a remembered peak after a second without a higher one
@@ -116,10 +114,9 @@
                             self.told_at, self.errors, self.barred, self.penalty, self.credit, self.full,
                             self.carried, self.no_new, self.wait_new):
                 figures.append(0)
-            self.heard.append(-inf)
-            self.used.append(-inf)
-            self.ready.append(False)
-            self.trial.append(False)
+            for known, unknown in ((self.heard, -inf), (self.used, -inf), (self.ready, False),
+                                   (self.trial, False)):
+                known.append(unknown)
             self.out.append({})
 
     def recent(self, server: int, now: float) -> float:
@@ -414,7 +411,7 @@
             ring.servers, standing = self._keep_to(models)
             barred = len(self._on_trial) - barred
             ring.open = max(1, len(ring.servers)) / max(1, len(ring.servers) + barred)
-            ring.out = sum(servers.held[server] for server in ring.servers)
+            ring.out = sum(servers.held[server] - len(self._stuck(server)) for server in ring.servers)
             # a node's fair share of them: with those of its building, or for servers far off with all
             peers = max(1.0, terms["nodes"] / (terms["zones"] if ring is self._rings[0] and priced else 1))
             ring.fair = max(1, sum(map(len, models.values()))) / peers
@@ -480,9 +477,10 @@
             server = ring.servers[min(len(bounds) - 1, bisect(bounds, self._chance.random() * bounds[-1]))]
             if not self._may_go(command, server):
                 continue
-            if servers.held[server] < far and not self._crowded(ring, server):
+            stuck = command.kind in self._stuck(server)
+            if servers.held[server] < far and not stuck and not self._crowded(ring, server):
                 return server
-            load = (servers.held[server] + 1) / ring.share[server]
+            load = (servers.held[server] + 1 + stuck * ring.out) / ring.share[server]
             if load < least:
                 best, least = server, load
         if best < 0:
@@ -495,6 +493,17 @@
             best = self._chance.choice(fit) if fit else -1
         return best
 
+    def _stuck(self, server: int) -> list[int]:
+        """The traffic types of relays that last far too long on a server that goes on answering others.
+
+        Guards against types that hang at some servers only, and fill the room of all: see what uses this.
+        """
+        servers, mean = self._servers, self._pace.mean
+        stuck = [kind for (number, _), sent in servers.out[server].items() if sent < self._now
+                 - STUCK * (mean[kind := self._commands[number].kind] or inf) < servers.heard[server]]
+        # one alone may be a long command
+        return [] if self._pace.all_slow else [kind for kind in stuck if stuck.count(kind) > 1]
+
     def _crowded(self, ring: Ring, server: int) -> bool:
         """Whether a server's report says that it holds far more than the mean; an old report says little.
 
@@ -694,19 +703,14 @@
 
     def _again(self, command: Command) -> None:
         """Nothing is out any more and the command is not done: another relay, or its end."""
-        if not self._may_repeat(command) or self._now + self._tick >= command.give_up:
-            self._finish(command)
-        elif command.may and self._repeat_credit < 1.0:
-            # guards against repeats that swell an overload
+        # the credit guards against repeats that swell an overload
+        if (not self._may_repeat(command) or self._now + self._tick >= command.give_up
+                or command.may and self._repeat_credit < 1.0):
             self._finish(command)
         else:
-            if command.may:
-                self._repeat_credit -= 1.0
+            self._repeat_credit -= 1.0 if command.may else 0.0
             if not self._send(command):
-                if command.may:
-                    self._finish(command)
-                else:
-                    self._hold(command)
+                (self._finish if command.may else self._hold)(command)
 
     def _close(self, command: Command) -> None:
         """The command is done: what else is out for it is called off."""
@@ -714,6 +718,8 @@
         for n in sorted(command.out):
             if self._terms["withdrawals"]:
                 self._writer.withdraw(command.number, n)
+        if not command.out:
+            self._commands.pop(command.number, None)
 
     def _finish(self, command: Command) -> None:
         """Rule one: the final answer of a command that no server has given one for."""
@@ -724,8 +730,6 @@
         else:
             self._writer.terminate(command.number)
         self._close(command)
-        if not command.out:
-            self._commands.pop(command.number, None)
 
     def _stay_away(self, command: Command) -> float:
         if not self._terms["bounce_advice"]:
@@ -736,8 +740,6 @@
         command = self._commands.get(number)
         if command is not None and not command.over:
             self._close(command)
-            if not command.out:
-                self._commands.pop(number, None)
 
     def _started(self, number: int, n: int, server: int) -> None:
         """A streamed answer belongs to the client from its first byte on: nothing is owed but its end."""
@@ -864,16 +866,13 @@
             self._pass_trial(server)
         elif outcome == Outcome.TIMED_OUT:
             self._note(server, self._pace.add(now, command.kind, took, False))
-            self._fail_trial(server)
         elif outcome == Outcome.WITHDRAWN:
             share = took / (self._pace.mean[command.kind] or took or 1.0)
             if share > servers.latency[server] > 0.0:
                 self._note(server, share)
                 servers.misses[server] += 1
-            self._fail_trial(server)
         elif outcome in (Outcome.ERROR, Outcome.UNKNOWN):
             servers.errors[server] += (1.0 - servers.errors[server]) * SMOOTHING
-            self._fail_trial(server)
             if servers.errors[server] > FAILING and self._apart(servers.errors, server):
                 # guards against a server that fails fast and would draw traffic by its low latency
                 self._bar_few(server)
@@ -882,10 +881,11 @@
             # A reset or a connection that only never came may be the path: that makes no server cold
             if outcome == Outcome.UNCONNECTED and took < self._terms["connect_within"] / 2:
                 servers.born[server] = max(servers.born[server], now)
-            self._fail_trial(server)
         elif outcome == Outcome.FULL:
             # guards against knocking at a full server again before it can have done anything
             servers.full[server] = now + self._pace.mean[command.kind] / 2
+        if outcome not in (Outcome.HANDLED, Outcome.FULL, Outcome.MOOT):
+            self._fail_trial(server)
 
     def _learn_idleness(self, command: Command, n: int, server: int, outcome: Outcome, took: float) -> None:
         step, usual = command.idle[n], self._pace.mean[command.kind] * max(1.0, self._pace.latest)
