Decisions cost the same whatever waits and however large the tier; tries that come alone

Need: the external processor asks the module at thousands of commands a second. A profile of the landed text showed all that waits tried again in every round (1.6 ms a command before 8 servers in trouble), the whole window sorted each second (5 to 12 ms in one round), a solve for each bar (17 ms in the worst round before 512 servers), and thousands of spent timers popped in one round.

Change: the window keeps its samples sorted by second and looks quantiles up across the seconds, to the sample (quantiles.py); what waits is kept in both of its orders; stuck types are looked for only where a relay is old enough; a barred server whose trial is not due keeps no round busy. Three departures begin only at a size: with more than 64 servers kept to, a beat's parts go into rounds of their own and a bar is solved once a round, with draws passing by the barred until then; with more than 64 waiting, they are sorted out once for each 64th of them that is new, and a round ends at the first that no server takes; 64 spent timers a round.

An arrival may name earlier tries: they count as the command's first relays, so that rule two holds where each try comes by itself.

--- /dev/null
+++ b/benchmarks/decisions.py
@@ -0,0 +1,317 @@
+"""What a decision costs, and that the decisions are those of an earlier text of the module.
+
+Owns a host in virtual time (servers of unequal speed, faults on a script), which plays the same commands to
+`Balancer` at several sizes of the tier, and to two texts of it side by side. It must never touch the clock of
+what it plays: only the time inside `Balancer.round` is real.
+
+    python benchmarks/decisions.py                       cost at 8, 64 and 512 servers
+    python benchmarks/decisions.py --against 925ebb7     also: every write of both texts, compared
+    python benchmarks/decisions.py --short --json        one JSON object as the last line
+"""
+
+import argparse
+import gc
+import importlib.util
+import json
+import random
+import subprocess
+import sys
+import time
+from collections import Counter
+from heapq import heappop, heappush
+from pathlib import Path
+from types import ModuleType
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
+
+from wheatroute import decide  # noqa: E402
+from wheatroute.interface import Effect, Event, Group, Outcome, State  # noqa: E402
+
+BASE = "925ebb7"  # the text before the cost was cut, which decisions are compared with
+APART = 0.0005  # seconds between commands
+WORK = 0.02  # seconds a server takes for one
+
+
+def module_at(commit: str) -> ModuleType:
+    """The module as a commit has it."""
+    text = subprocess.run(["git", "-C", str(ROOT), "show", f"{commit}:wheatroute/decide.py"],
+                          capture_output=True, text=True, check=True).stdout
+    spec = importlib.util.spec_from_loader(f"decide_{commit}", None)
+    module = importlib.util.module_from_spec(spec)  # type: ignore[arg-type]
+    sys.modules[module.__name__] = module
+    exec(compile(text, f"{commit}:decide.py", "exec"), module.__dict__)
+    return module
+
+
+def terms(nodes: int = 1, **changes: Any) -> dict[str, Any]:
+    def kind(effect: Effect, utility: float, group: Group = Group.ALL) -> dict[str, Any]:
+        return {"target_time": 1.0, "stretch": 0.0, "hard_stop": 3.0, "utility": utility,
+                "late_utility": 0.2, "effect": effect, "group": group, "repeat_window": 2.0,
+                "streamed": False}
+    return {"nodes": nodes, "node": 0, "tick": 0.001, "tier": 0, "tiers": 1, "zones": 1,
+            "second_copies": True, "withdrawals": True, "probes": False, "bounce_advice": True,
+            "longest_advice": 2.0, "most_relays": 4, "connect_within": 0.1, "excess_utility": 0.05,
+            "crossing_price": 0.0, "idle_closed": 30.0, "calls_per_connection": 1, "ask_within": 10.0,
+            "cold_time": 20.0, "cold_share": 0.1, "drain_grace": 0.5, "fall_span": 3.0, "fall_multiple": 3.0,
+            "zone": 0, "list_on_request": False, "work_counts": False, "reported": [], "late_price": 0.0,
+            "customers": [{"portion": 0.5, "quota": 900.0}, {"portion": 0.5, "quota": 900.0}],
+            "traffic_types": [kind(Effect.PURE, 5.0), kind(Effect.RECEIPTED, 3.0, Group.CELL),
+                              kind(Effect.EFFECTFUL, 3.0)]} | changes
+
+
+class Day:
+    """Commands at an even pace before servers of unequal speed, some in trouble, in virtual time."""
+
+    def __init__(self, servers: int, seed: int, rough: bool, apart: float = APART, work: float = WORK,
+                 zones: int = 1) -> None:
+        self.chance = random.Random(seed)
+        self.servers, self.rough, self.apart, self.work, self.zones = servers, rough, apart, work, zones
+        self.speed = [self.chance.choice((0.8, 1.0, 1.6)) for _ in range(servers)]
+        self.heap: list[tuple[Any, ...]] = []
+        self.order = 0
+        self.over: set[int] = set()
+        self.relays: dict[int, int] = {}
+        self.kinds: dict[int, int] = {}
+        self.costs: list[float] = []
+        self.now = 1000.0
+        self.finals: Counter[str] = Counter()
+        self.crowd = [0] * servers
+        self.out: dict[tuple[int, int], tuple[int, float]] = {}  # relays out: where to, and when they went
+
+    def push(self, moment: float, *what: Any) -> None:
+        self.order += 1
+        heappush(self.heap, (moment, self.order, *what))
+
+    def entries(self, numbers: range | list[int], state: State = State.LIVE,
+                started: float = 0.0) -> list[tuple[Any, ...]]:
+        return [(s, s % self.zones, s % 3, s // 4, state, 1.0, started) for s in numbers]
+
+    def play(self, balancer: Any, commands: int) -> "Day":
+        """All commands and what becomes of them, one round for what falls on one moment."""
+        self.push(self.now, "event", (Event.LISTED, self.entries(range(self.servers)), True))
+        for n in range(commands):
+            self.push(self.now + 0.001 + n * self.apart, "ask", n)
+        if self.rough:
+            length = commands * self.apart
+            drained = [s for s in range(self.servers) if s % 8 == 3]
+            self.push(self.now + 0.4 * length, "event",
+                      (Event.LISTED, self.entries(drained, State.DRAINING), False))
+            self.push(self.now + 0.6 * length, "event",
+                      (Event.LISTED, self.entries(drained, State.LIVE, self.now + 0.6 * length), False))
+        end = self.now + commands * self.apart + 4.0
+        clock = time.perf_counter
+        while self.heap and self.heap[0][0] <= end:
+            moment, events = self.heap[0][0], []
+            self.now = moment
+            while self.heap and self.heap[0][0] <= moment:
+                _, _, what, *rest = heappop(self.heap)
+                events += getattr(self, "_" + what)(*rest)
+            notes = Notes()
+            began = clock()
+            balancer.round(moment, events, notes)
+            self.costs.append(clock() - began)
+            for name, *what in notes.made:
+                getattr(self, name)(*what)
+        return self
+
+    def _event(self, event: tuple[Any, ...]) -> list[tuple[Any, ...]]:
+        return [event]
+
+    def _ask(self, n: int) -> list[tuple[Any, ...]]:
+        self.kinds[n] = n % 3
+        return [(Event.ARRIVED, n, n % 3, 3.0, n % 2, False)]
+
+    def _back(self, command: int, n: int, server: int, outcome: Outcome,
+              took: float) -> list[tuple[Any, ...]]:
+        if self.out.pop((command, n), None) is None:
+            return []  # it was withdrawn before
+        self.crowd[server] -= 1
+        finished = command in self.over or outcome == Outcome.HANDLED
+        if outcome == Outcome.HANDLED and command not in self.over:
+            self.over.add(command)
+            self.finals["handled"] += 1
+        report = {"held": float(self.crowd[server])} if self.chance.random() < 0.2 else None
+        return [(Event.RETURNED, command, n, server, outcome, took, finished, report)]
+
+    # the writer
+
+    def relay(self, command: int, server: int, time_out: float) -> None:
+        if command in self.over:
+            raise AssertionError("a relay after the final answer")
+        n = self.relays.get(command, 0)
+        self.relays[command] = n + 1
+        self.crowd[server] += 1
+        took = self.work * self.chance.uniform(0.5, 1.5) / self.speed[server] * (1 + self.crowd[server] / 8)
+        outcome, fate = Outcome.HANDLED, self.chance.random()
+        if self.rough:
+            half = (self.now - 1000.0) % 8.0 > 4.0
+            if server % 16 == 5 and half:
+                outcome, took = Outcome.TIMED_OUT, time_out
+            elif server % 16 == 7 and half:
+                outcome, took = Outcome.ERROR, 0.001
+            elif server % 32 == 9:
+                took *= 20
+            elif fate < 0.01:
+                outcome = (Outcome.FULL, Outcome.RESET, Outcome.UNCONNECTED, Outcome.UNKNOWN)[int(fate * 400)]
+        if took >= time_out:
+            outcome, took = Outcome.TIMED_OUT, time_out
+        self.out[command, n] = server, self.now
+        self.push(self.now + took, "back", command, n, server, outcome, took)
+
+    def withdraw(self, command: int, n: int) -> None:
+        if (command, n) not in self.out:
+            return
+        server, sent = self.out[command, n]
+        self.push(self.now + 0.001, "back", command, n, server, Outcome.WITHDRAWN, self.now - sent)
+
+    def bounce(self, command: int, stay_away: float) -> None:
+        self._end(command, "bounced")
+
+    def terminate(self, command: int) -> None:
+        self._end(command, "terminated")
+
+    def _end(self, command: int, word: str) -> None:
+        if command in self.over:
+            raise AssertionError("a second final answer")
+        self.over.add(command)
+        self.finals[word] += 1
+
+    def wake(self, moment: float) -> None:
+        self.push(moment, "event", (Event.WOKEN,))
+
+    def watch(self, enable: bool) -> None:
+        pass
+
+    def fetch(self) -> None:
+        pass
+
+    sound = close = log = lambda self, *_: None
+
+
+class Notes:
+    """A writer that keeps decisions until the round is over."""
+
+    def __init__(self) -> None:
+        self.made: list[tuple[Any, ...]] = []
+
+    def __getattr__(self, name: str) -> Any:
+        def write(*what: Any) -> None:
+            self.made.append((name, *what))
+        setattr(self, name, write)
+        return write
+
+
+class Twin:
+    """Two texts of the module in one place: the first decides, the second is asked the same and compared."""
+
+    tally: Counter[str] = Counter()
+    firsts: list[str] = []
+
+    def __init__(self, old: ModuleType, new: ModuleType, told: Any, chance: random.Random) -> None:
+        other = random.Random()
+        other.setstate(chance.getstate())
+        self._old, self._new = old.Balancer(told, chance), new.Balancer(told, other)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._old, name)
+
+    def round(self, now: float, events: Any, writer: Any) -> None:
+        first, second = Notes(), Notes()
+        self._new.round(now, list(events), second)
+        self._old.round(now, events, first)
+        for name, *what in first.made:
+            getattr(writer, name)(*what)
+        self.tally["rounds"] += 1
+        self.tally["writes"] += len(first.made)
+        if first.made != second.made:
+            self.tally["differ"] += 1
+            if len(self.firsts) < 5:
+                self.firsts.append(f"{now:.4f}: {first.made[:4]} against {second.made[:4]}")
+
+
+def compare(commit: str, commands: int, stories: bool) -> Counter[str]:
+    """Both texts on generated days of many shapes, and on every story told of the decisions.
+
+    The two departures that spread work over rounds are off here: they begin with `LARGE` servers kept to and
+    with `SORTED` commands that wait, and what they change is for the bench to judge.
+    """
+    old = module_at(commit)
+    Twin.tally, Twin.firsts = Counter(), []
+    decide.LARGE, decide.SORTED, usual = 10**9, 10**9, (decide.LARGE, decide.SORTED)
+
+    def twin(told: Any, chance: random.Random) -> Twin:
+        return Twin(old, decide, told, chance)
+    shapes = [(8, 1, 0.0005, 0.02, 1, {}), (64, 1, 0.0005, 0.02, 1, {}), (8, 1, 0.002, 0.08, 1, {}),
+              (16, 1, 0.0002, 0.02, 1, {}), (24, 12, 0.004, 0.05, 1, {}),
+              (30, 1, 0.001, 0.05, 2, {"crossing_price": 0.1, "zones": 2}),
+              (12, 2, 0.003, 0.1, 1, {"tier": 1, "tiers": 3})]
+    for i, (servers, nodes, apart, work, zones, changes) in enumerate(shapes):
+        for rough in (False, True):
+            day = Day(servers, 7 + i, rough, apart, work, zones)
+            day.play(twin(terms(nodes, **changes), random.Random(i)), commands)
+    if stories:
+        _stories(twin)
+    decide.LARGE, decide.SORTED = usual
+    return Twin.tally
+
+
+def _stories(twin: Any) -> None:
+    """The tests of the decisions, with both texts in the place of one."""
+    import fakehost
+    import test_stories
+    fakehost.Balancer = twin
+    for name, told in vars(test_stories).items():
+        if name.startswith("test_") and not told.__code__.co_argcount:
+            told()
+    fakehost.Balancer = decide.Balancer
+
+
+def cost(module: ModuleType, servers: int, commands: int, rough: bool) -> dict[str, float]:
+    """Microseconds a command and the spread of a round; the first list is taken in before."""
+    day = Day(servers, 5, rough)
+    gc.collect()
+    gc.disable()
+    day.play(module.Balancer(terms(), random.Random(5)), commands)
+    gc.enable()
+    first, rounds = day.costs[0], sorted(day.costs[1:])
+    return {"us_command": round(sum(rounds) / commands * 1e6, 1),
+            "p99_ms": round(rounds[int(len(rounds) * 0.99)] * 1e3, 3), "worst_ms": round(rounds[-1] * 1e3, 3),
+            "first_list_ms": round(first * 1e3, 3), "handled": day.finals["handled"] / commands}
+
+
+def main() -> None:
+    parse = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parse.add_argument("--against", metavar="COMMIT", help="compare with this text of the module")
+    parse.add_argument("--short", action="store_true", help="fewer commands, ends within 45 s")
+    parse.add_argument("--json", action="store_true", help="one JSON object as the last line")
+    parse.add_argument("--rough", action="store_true", help="cost on days with faults")
+    told = parse.parse_args()
+    commands = 12000 if told.short else 30000
+    out: dict[str, Any] = {}
+    for servers in (8, 64, 512):
+        one = cost(decide, servers, commands, told.rough)
+        print(f"{servers:>5} servers  {one}")
+        out[str(servers)] = one
+        if told.against and not told.short:
+            print(f"      {told.against}  {cost(module_at(told.against), servers, commands, told.rough)}")
+    commit = told.against or BASE
+    try:
+        tally = compare(commit, 2500 if told.short else 8000, stories=True)
+    except subprocess.CalledProcessError:
+        print(f"no text at {commit}: nothing compared")
+        tally = Counter()
+    for line in Twin.firsts:
+        print("differs", line)
+    print(f"against {commit}: {dict(tally)}")
+    if told.json:
+        print(json.dumps({"ratio_512_64": round(out["512"]["us_command"] / out["64"]["us_command"], 3),
+                          "worst_round_ms_512": out["512"]["worst_ms"],
+                          "same_decisions": bool(tally["rounds"]) and not tally["differ"],
+                          "rounds_compared": tally["rounds"], "writes_compared": tally["writes"],
+                          "sizes": out}))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -433,3 +433,21 @@
         assert sink.getvalue() == b'{"nodes":[]}\n'
         said = capsys.readouterr().err
         assert said.startswith("line 2: ") and told in said and said.count("\n") == 1
+
+
+def test_a_try_that_comes_by_itself_is_bound_by_those_before_it():
+    host = Host().step()
+
+    def tried(kind, *earlier):
+        number = host.ask(kind)
+        host.events[-1] += (earlier,)
+        host.relays[number] = [server for server, _, _ in earlier]
+        host.step(0.3)
+        return host.relays[number][len(earlier):], host.final[number]
+
+    assert tried(PURE, (0, 99.0, True), (1, 99.5, True))[0][0] in (2, 3)  # no server twice
+    assert tried(EFFECTFUL, (0, 99.9, False))[0][0] in (1, 2, 3)
+    assert tried(EFFECTFUL, (0, 99.9, True)) == ([], "terminated")
+    assert tried(RECEIPTED, (2, host.now - 0.5, True))[0] == [3]  # the other of its group
+    assert tried(RECEIPTED, (2, host.now - 2.5, True)) == ([], "terminated")  # its window is over
+    assert tried(PURE, *[(server, 99.0, True) for server in range(4)]) == ([], "bounced")  # most relays
--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -8,14 +8,27 @@
 
 from __future__ import annotations
 
-from bisect import bisect, insort
+from bisect import bisect, bisect_left, insort
 from collections import deque
+from collections.abc import Callable, Sequence
 from heapq import heappop, heappush
-from itertools import takewhile
 from math import ceil, inf, log2, sqrt
 from random import Random
 
-from wheatroute.interface import Effect, Entry, Event, Group, Outcome, Report, Round, State, Terms, Writer
+from wheatroute.interface import (
+    Earlier,
+    Effect,
+    Entry,
+    Event,
+    Group,
+    Outcome,
+    Report,
+    Round,
+    State,
+    Terms,
+    Writer,
+)
+from wheatroute.quantiles import Window
 
 # The design's own figures.
 WINDOW = 10.0  # seconds of own latencies behind the copy timer
@@ -51,6 +64,8 @@
 OUTLIER = 3.0  # a server this multiple slower than the median server is left to trial relays
 FAILING = 0.3  # share of a server's answers that are errors
 RECALL = 0.97  # what is left of a remembered peak after a second without a higher one
+LARGE = 64  # with more servers kept to, a beat's parts go into rounds of their own, one solve a round
+SORTED = 64  # commands that may be looked at for each one more that is held, or that comes due
 
 
 class Command:
@@ -157,8 +172,9 @@
     """This node's latencies to the tier over the window, and what follows from them."""
 
     def __init__(self, kinds: int) -> None:
-        self.samples: deque[tuple[float, float, float]] = deque()  # when, latency, in multiples of its type
+        self.window = Window(WINDOW)  # latencies, also in multiples of their type's mean
         self.mean = [0.0] * kinds  # smoothed latency of each traffic type
+        self.least = inf  # of those known
         self.p95 = 0.0
         self.median = 0.0  # of the window, in multiples of the type's mean
         self.latest = 0.0  # the same of the last second
@@ -173,28 +189,24 @@
             # slow to move, so that it speaks of the type and not of the moment
             self.seen[kind] = min(self.seen[kind] + 1, 5 * SAMPLES)
             self.mean[kind] = mean = mean + (took - mean) / self.seen[kind]
+            self.least = min((one for one in self.mean if one), default=inf)
         share = took / mean if mean else 1.0
-        self.samples.append((now, took, share))
+        self.window.add(now, took, share)
         return share
 
     def beat(self, now: float) -> None:
-        late = takewhile(lambda sample: sample[0] >= now - RESOLVE, reversed(self.samples))
-        shares = sorted(share for _, _, share in late)
+        shares = self.window.shares_since(now - RESOLVE)
         self.latest = shares[len(shares) // 2] if len(shares) >= SAMPLES // 4 else 0.0
 
     def resolve(self, now: float) -> None:
-        while self.samples and self.samples[0][0] < now - WINDOW:
-            self.samples.popleft()
-        count = len(self.samples)
-        if not count:
+        window = self.window
+        window.settle(now)
+        if not window.count:
             self.timer = inf
             return
-        raw = sorted(took for _, took, _ in self.samples)
-        shares = sorted(share for _, _, share in self.samples)
-        self.p95, self.median = raw[min(count - 1, int(count * 0.95))], shares[count // 2]
-        self.timer = self.p95 * (1.0 + MARGIN) if count >= SAMPLES else inf
-        mean = sum(shares) / count
-        self.spread = sqrt(sum((share - mean) ** 2 for share in shares) / count) / mean if mean else 1.0
+        self.p95, self.median = window.latency(0.95), window.share(0.5)
+        self.timer = self.p95 * (1.0 + MARGIN) if window.count >= SAMPLES else inf
+        self.spread = window.spread()
 
     @property
     def all_slow(self) -> bool:
@@ -319,8 +331,14 @@
         self._idleness = Idleness()
         self._rings = [Ring(), Ring()]
         self._on_trial: list[int] = []  # barred servers that this node would keep to
+        self._trials_due = -inf  # before this moment none of them may be tried
+        self._kept_to = 0  # servers that this node keeps to, barred ones as well
+        self._unsolved = False  # a standing changed and the split of a large tier is still to be solved
+        self._parts: deque[Callable[[], None]] = deque()  # of a beat before a large tier, still to be done
         self._commands: dict[int, Command] = {}
         self._waiting: list[tuple[float, int, Command]] = []  # by when they must start
+        self._by_value: list[tuple[float, float, int, Command]] = []  # the same, most valuable first
+        self._held_since = 0  # commands held since the waiting ones were last sorted out
         self._due: list[tuple[float, int, Command]] = []  # copy timers (number of relays > 0) and ends
         self._armed = inf
         self._next_beat = self._next_resolve = -inf
@@ -360,10 +378,14 @@
         if self._by >= self._ask_at:
             self._ask_at = inf
             writer.watch(True)
-        if self._by >= self._next_beat:
+        if self._parts:
+            self._parts.popleft()()
+        elif self._by >= self._next_beat:
             self._beat()
         self._run_due()
         self._drain_waiting()
+        if self._unsolved:
+            self._solve()
         self._arm()
 
     # the list of servers
@@ -405,17 +427,29 @@
             if ready:
                 ring = rings[priced and servers.zone[server] != here]
                 ring.setdefault(servers.model[server], []).append(server)
-        self._on_trial = []
+        self._on_trial, self._trials_due, self._unsolved = [], -inf, False
         for ring, models in zip(self._rings, rings, strict=True):
             barred = len(self._on_trial)
             ring.servers, standing = self._keep_to(models)
             barred = len(self._on_trial) - barred
             ring.open = max(1, len(ring.servers)) / max(1, len(ring.servers) + barred)
-            ring.out = sum(servers.held[server] - len(self._stuck(server)) for server in ring.servers)
+            ring.out = sum(servers.held[server] - len(self._stuck(server)) for server in ring.servers
+                           if servers.held[server])
             # a node's fair share of them: with those of its building, or for servers far off with all
             peers = max(1.0, terms["nodes"] / (terms["zones"] if ring is self._rings[0] and priced else 1))
             ring.fair = max(1, sum(map(len, models.values()))) / peers
             self._solve_ring(ring, standing)
+        self._kept_to = len(self._on_trial) + sum(len(ring.servers) for ring in self._rings)
+
+    def _solve_soon(self) -> None:
+        """At once, or before a large tier once at the end of the round: until then draws pass by the barred.
+
+        Guards against rounds as long as the servers barred in them are many times those kept to.
+        """
+        if self._kept_to > LARGE:
+            self._unsolved = True
+        else:
+            self._solve()
 
     def _keep_to(self, models: dict[int, list[int]]) -> tuple[list[int], list[float]]:
         """The servers of a ring that this node splits over, and for how many of its model each stands.
@@ -475,7 +509,7 @@
         best, least = -1, inf
         for _ in range(REDRAWS):
             server = ring.servers[min(len(bounds) - 1, bisect(bounds, self._chance.random() * bounds[-1]))]
-            if not self._may_go(command, server):
+            if servers.barred[server] or not self._may_go(command, server):
                 continue
             stuck = command.kind in self._stuck(server)
             if servers.held[server] < far and not stuck and not self._crowded(ring, server):
@@ -484,7 +518,7 @@
             if load < least:
                 best, least = server, load
         if best < 0:
-            fit = [s for s in ring.servers if self._may_go(command, s)]
+            fit = [s for s in ring.servers if not servers.barred[s] and self._may_go(command, s)]
             best = min(fit, key=lambda s: (servers.held[s] + 1) / ring.share[s], default=-1)
         if best < 0 and command.servers:
             # a repeat's group, or another way after a full server, may lie outside the part kept to
@@ -498,11 +532,19 @@
 
         Guards against types that hang at some servers only, and fill the room of all: see what uses this.
         """
-        servers, mean = self._servers, self._pace.mean
-        stuck = [kind for (number, _), sent in servers.out[server].items() if sent < self._now
-                 - STUCK * (mean[kind := self._commands[number].kind] or inf) < servers.heard[server]]
+        servers, pace, stuck = self._servers, self._pace, []
+        # oldest first: the rest went out too late for the shortest mean there is
+        latest = min(servers.heard[server], self._now - STUCK * pace.least)
+        if len(servers.out[server]) < 2 or pace.all_slow:
+            return stuck
+        for (number, _), sent in servers.out[server].items():
+            if sent >= latest:
+                break
+            kind = self._commands[number].kind
+            if sent < self._now - STUCK * (pace.mean[kind] or inf):
+                stuck.append(kind)
         # one alone may be a long command
-        return [] if self._pace.all_slow else [kind for kind in stuck if stuck.count(kind) > 1]
+        return [kind for kind in stuck if stuck.count(kind) > 1]
 
     def _crowded(self, ring: Ring, server: int) -> bool:
         """Whether a server's report says that it holds far more than the mean; an old report says little.
@@ -534,7 +576,7 @@
 
     def _group(self, kind: int, server: int) -> int:
         group = self._kinds[kind]["group"]
-        if group == Group.ALL:
+        if group == Group.ALL or server < 0:
             return 0
         return self._servers.zone[server] if group == Group.ZONE else self._servers.cell[server]
 
@@ -559,7 +601,8 @@
 
     # commands
 
-    def _arrived(self, number: int, kind: int, left: float, customer: int, repeated: bool) -> None:
+    def _arrived(self, number: int, kind: int, left: float, customer: int, repeated: bool,
+                 earlier: Sequence[Earlier] = ()) -> None:
         terms = self._kinds[kind]
         elapsed = self._elapsed(kind, left, repeated)
         stop = self._now + left - 2 * self._tick
@@ -577,12 +620,24 @@
         command.share, command.part = share, 1.0 if share == customer else BEYOND
         self._commands[number] = command
         self._repeat_credit = min(self._repeat_credit + REPEAT_SHARE, 1.0 + REPEAT_SHARE * SAMPLES * 2)
-        if give_up <= self._now:
+        self._enter_earlier(command, earlier)
+        if give_up <= self._now or earlier and not self._may_repeat(command):
             self._finish(command)
             return
         heappush(self._due, (give_up, -number - 1, command))
         if not self._send(command):
-            self._hold(command)
+            (self._finish if command.may else self._hold)(command)
+
+    def _enter_earlier(self, command: Command, earlier: Sequence[Earlier]) -> None:
+        """Rule two where each try of a command comes here by itself: what ran before counts as its own."""
+        for server, sent, may in earlier:
+            if may and not command.may:
+                command.group, command.since = self._group(command.kind, server), sent
+            command.may += may
+            command.servers.append(server)
+            command.sent.append(sent)
+            command.idle.append(0)
+            command.opened.append(False)
 
     def _elapsed(self, kind: int, left: float, repeated: bool) -> float:
         """How much of its target time a command has used before it came here, as far as that shows.
@@ -630,7 +685,7 @@
     def _shut(self, part: float = 1.0) -> bool:
         """Whether no command that may use this part of the room can go out, not even for trial."""
         rings = [ring for ring in self._rings if ring.servers]
-        return bool(rings) and not self._on_trial and all(ring.out >= ring.room * part for ring in rings)
+        return bool(rings) and all(ring.out >= ring.room * part for ring in rings) and not self._trial_due()
 
     def _last_resort(self, command: Command) -> int:
         """Guards against barring everything: with no server left, the least laden barred one is tried."""
@@ -756,8 +811,18 @@
     def _hold(self, command: Command) -> None:
         command.queued = True
         usual = self._pace.mean[command.kind] * max(1.0, self._pace.latest)
-        insort(self._waiting, (command.target - HASTE * usual, command.number, command))
-        self._sort_out()
+        start_by = command.target - HASTE * usual
+        insort(self._waiting, (start_by, command.number, command))
+        insort(self._by_value, (-command.value, start_by, command.number, command))
+        self._held_since += 1
+        # guards against a cost of each that grows with all that wait
+        if self._held_since * SORTED >= len(self._waiting):
+            self._sort_out()
+
+    def _unhold(self, start_by: float, command: Command) -> None:
+        waiting, by_value = self._waiting, self._by_value
+        del waiting[bisect_left(waiting, (start_by, command.number))]
+        del by_value[bisect_left(by_value, (-command.value, start_by, command.number))]
 
     def _sort_out(self) -> None:
         """Turns away at once what cannot all be handled in time, the least valuable for its work first.
@@ -766,45 +831,48 @@
         while there is room for all: those that must start first go first, and only where one would start
         too late, foretold from the work before it and the rate here, the cheapest up to it is given up.
         """
-        if not self._rate or not self._entry:
+        self._held_since = 0
+        if not self._rate or not self._entry or not self._waiting:
             return
         mean = self._pace.mean
         usual = sum(mean) / len(mean) or 1.0
-        # guards against a second answer: one that ran out of time while nothing had room still stands here
-        self._waiting = [item for item in self._waiting if not item[2].over]
-        ahead, fit, dropped = 0.0, [], set()
-        for start_by, number, command in self._waiting:
+        ahead, fit = 0.0, []
+        for start_by, number, command in self._waiting[:]:
+            if command.over:
+                # guards against a second answer: one that ran out of time while nothing had room stands here
+                self._unhold(start_by, command)
+                continue
             work = (mean[command.kind] or usual) / usual / self._rate
-            heappush(fit, (command.value, -number, work, command))
+            heappush(fit, (command.value, -number, work, start_by, command))
             ahead += work
             while fit and self._now + ahead > start_by:
-                _, number, work, least = heappop(fit)
+                _, _, work, began, least = heappop(fit)
                 ahead -= work
-                dropped.add(-number)
                 least.queued = False
+                self._unhold(began, least)
                 self._finish(least)
-        if dropped:
-            self._short = self._now
-            self._waiting = [item for item in self._waiting if item[1] not in dropped]
+                self._short = self._now
 
     def _drain_waiting(self) -> None:
         """Sends what waits as far as there is room: by due time, or by value while not all can be in time."""
         if not self._waiting or self._shut():
             return
-        order, beyond = self._waiting, False
-        if self._now - self._short < RESOLVE:
-            order = sorted(order, key=lambda item: (-item[2].value, item[0], item[1]))
-        gone = set()
-        for _, number, command in order:
-            if command.over or not (beyond and command.part < 1.0) and self._send(command):
+        beyond, gone, many, trial = False, [], len(self._waiting) > SORTED, self._trial_due()
+        by_value = self._now - self._short < RESOLVE
+        for *_, start_by, _, command in self._by_value if by_value else self._waiting:
+            if beyond and command.part < 1.0 and not command.over:
+                continue
+            if command.over or self._send(command):
                 command.queued = False
-                gone.add(number)
-            elif self._shut():
+                gone.append((start_by, command))
+            elif self._shut() or many and not command.servers and command.part == 1.0 and not trial:
+                # guards against a cost that grows with all that wait: servers that take no command that may
+                # go to any take no other
                 break
             else:
                 beyond = beyond or self._shut(BEYOND)
-        if gone:
-            self._waiting = [item for item in self._waiting if item[1] not in gone]
+        for start_by, command in gone:
+            self._unhold(start_by, command)
 
     # moments that come due
 
@@ -842,10 +910,11 @@
 
     def _arm(self) -> None:
         """Asks for the next round that is needed, unless one as early is already asked for."""
-        due = self._due
-        while due and due[0][2].over:
+        due, spent = self._due, SORTED
+        while due and due[0][2].over and spent:  # the rest in the rounds to come
             heappop(due)
-        moment = min(due[0][0] if due else inf, self._next_beat, self._ask_at)
+            spent -= 1
+        moment = min(due[0][0] if due else inf, self._now if self._parts else self._next_beat, self._ask_at)
         if moment < self._armed:
             self._armed = moment
             self._writer.wake(max(moment, self._now + self._tick))
@@ -873,7 +942,8 @@
                 servers.misses[server] += 1
         elif outcome in (Outcome.ERROR, Outcome.UNKNOWN):
             servers.errors[server] += (1.0 - servers.errors[server]) * SMOOTHING
-            if servers.errors[server] > FAILING and self._apart(servers.errors, server):
+            if (servers.errors[server] > FAILING and not servers.barred[server]
+                    and self._apart(servers.errors, server)):
                 # guards against a server that fails fast and would draw traffic by its low latency
                 self._bar_few(server)
         elif outcome in (Outcome.UNCONNECTED, Outcome.RESET):
@@ -933,8 +1003,7 @@
 
     def _bar_few(self, server: int) -> None:
         """Bars a server unless half of them are: what most suffer is the tier's trouble, not a server's."""
-        barred = len(self._on_trial)
-        if 2 * (barred + 1) <= barred + sum(len(ring.servers) for ring in self._rings):
+        if 2 * (len(self._on_trial) + 1) <= self._kept_to:
             self._bar(server)
 
     def _bar(self, server: int) -> None:
@@ -942,7 +1011,9 @@
         if servers.barred[server]:
             return
         self._prolong(server)
-        self._solve()
+        self._on_trial.append(server)
+        self._trials_due = -inf
+        self._solve_soon()
 
     def _prolong(self, server: int) -> None:
         """Sets when a barred server is tried next, ever later.
@@ -956,7 +1027,7 @@
     def _trial_for(self, command: Command) -> int:
         """A barred server whose time has come gets one pure command: the way back in."""
         servers = self._servers
-        if self._kinds[command.kind]["effect"] != Effect.PURE or command.servers:
+        if self._kinds[command.kind]["effect"] != Effect.PURE or command.servers or not self._trial_due():
             return -1
         for server in self._on_trial:
             if servers.barred[server] <= self._now and not servers.trial[server]:
@@ -965,21 +1036,33 @@
                     return server
         return -1
 
+    def _trial_due(self) -> bool:
+        """Whether any barred server may be tried by now, looked up no more often than that can change."""
+        if self._now < self._trials_due:
+            return False
+        servers = self._servers
+        untried = [servers.barred[server] for server in self._on_trial if not servers.trial[server]]
+        self._trials_due = min(untried, default=inf)
+        return self._trials_due <= self._now
+
     def _pass_trial(self, server: int) -> None:
         servers = self._servers
         servers.trial[server] = False
+        self._trials_due = -inf
         if servers.barred[server] and servers.latency[server] < OUTLIER * max(1.0, self._pace.median):
             servers.barred[server] = servers.penalty[server] = servers.errors[server] = 0.0
-            self._solve()
+            if server in self._on_trial:
+                self._on_trial.remove(server)
+            self._solve_soon()
 
     def _fail_trial(self, server: int) -> None:
         servers = self._servers
         if servers.barred[server] and servers.trial[server]:
-            servers.trial[server] = False
+            servers.trial[server], self._trials_due = False, -inf
             self._prolong(server)
 
     def _beat(self) -> None:
-        now, pace, terms = self._now, self._pace, self._terms
+        now, pace = self._now, self._pace
         step = BEAT * RESOLVE
         # guards against a stalled turn: answers may lie unread, so nobody is blamed for silence
         stalled = now - self._next_beat > step / 2
@@ -989,13 +1072,23 @@
         self._handled = 0
         for i, quota in enumerate(self._quota):
             self._allowance[i] = min(self._saved(quota), self._allowance[i] + quota * step)
+        parts: list[Callable[[], None]] = []
         if now >= self._next_resolve:
             self._next_resolve = now + RESOLVE
-            pace.resolve(now)
-            self._idleness.resolve()
+            parts += [lambda: pace.resolve(now), self._idleness.resolve]
         if not stalled:
-            self._watch_silence()
-        self._refill(step)
+            parts.append(self._watch_silence)
+        parts += [lambda: self._refill(step), lambda: self._beat_rings(step), self._solve, self._sort_out]
+        if self._kept_to > LARGE:
+            # guards against one round that takes as long as the servers are many: a part goes into each of
+            # the next rounds, which come within some ticks
+            self._parts.extend(parts)
+        else:
+            for part in parts:
+                part()
+
+    def _beat_rings(self, step: float) -> None:
+        pace, terms = self._pace, self._terms
         # the wait that a server's own crowd adds is thinned out by the calls it makes to the tiers below
         depth = max(1, terms["tiers"] - terms["tier"])
         near, far = self._rings
@@ -1005,8 +1098,6 @@
             # at half where others can help out: a building may have more nodes than its even part
             begin = 0.5 if ring is near and far.servers else 1.0
             ring.beat(step, ring.fair, begin, pace.spread, longer, self._chance)
-        self._solve()
-        self._sort_out()
 
     def _watch_silence(self) -> None:
         """Guards against servers that take work and answer nothing, or answer far too late."""
--- a/wheatroute/interface.py
+++ b/wheatroute/interface.py
@@ -4,7 +4,7 @@
 once a round. `events` is a list of plain tuples, an `Event` first and its fields after it, in
 the order in which they happened:
 
-    (Event.ARRIVED, command, traffic_type, time_left, customer, repeated)
+    (Event.ARRIVED, command, traffic_type, time_left, customer, repeated[, earlier])
     (Event.STARTED, command, n, server)                        a streamed answer has begun
     (Event.RETURNED, command, n, server, outcome, took, finished, report)
     (Event.LEFT, command)                                      nothing more is owed for it
@@ -16,7 +16,9 @@
 Commands, servers, traffic types, customers and zones are small dense numbers given out by the host,
 one numbering an instance; `customer` is -1 where there is none, `report` is None or maps a
 name to a figure. Relays of a command are numbered by `n` from 0 in the order they are written. Times
-are seconds. An entry of a list is `(server, zone, model, cell, state, size, started_at)`.
+are seconds. Where a host's callers try again by themselves, `earlier` holds the tries that came before as
+`(server, sent_at, may_have_run)`: they count as the command's first relays. An entry of a list is
+`(server, zone, model, cell, state, size, started_at)`.
 """
 
 from collections.abc import Mapping, Sequence
@@ -77,6 +79,7 @@
 
 Happening = tuple[Any, ...]
 Entry = tuple[int, int, int, int, State, float, float]
+Earlier = tuple[int, float, bool]
 Terms = Mapping[str, Any]
 Report = Mapping[str, float]
 Round = Sequence[Happening]
