--- /dev/null
+++ b/wheatroute/wire.py
@@ -0,0 +1,141 @@
+"""One byte stream of a front: a socket, with TLS or without, and what is still to be written to it.
+
+Owns the socket, the TLS state and the bytes that the socket did not take yet. Writing never waits: what does
+not go out at once is kept and goes out as the other side reads. It must never decide when the backlog is too
+long, and knows no protocol above TLS.
+"""
+
+from __future__ import annotations
+
+import socket
+import ssl
+from contextlib import suppress
+
+import trio
+
+CHUNK = 65536  # most bytes read at once
+
+
+class Wire:
+    """A non-blocking socket; `context` turns TLS on."""
+
+    def __init__(self, sock: socket.socket, context: ssl.SSLContext | None = None, server_side: bool = True,
+                 host: str | None = None) -> None:
+        self.sock = sock
+        sock.setblocking(False)
+        with suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.written = 0  # bytes that the socket took
+        self.closed = False
+        self._backlog = bytearray()
+        self._stirred = trio.Event()
+        self._tls: ssl.SSLObject | None = None
+        if context is not None:
+            self._in, self._out = ssl.MemoryBIO(), ssl.MemoryBIO()
+            self._tls = context.wrap_bio(self._in, self._out, server_side=server_side, server_hostname=host)
+
+    @property
+    def backlog(self) -> int:
+        """Bytes kept for a peer that does not read."""
+        return len(self._backlog)
+
+    @property
+    def protocol(self) -> str | None:
+        """What ALPN chose."""
+        return self._tls.selected_alpn_protocol() if self._tls else None
+
+    @property
+    def peer_certificate(self) -> bytes | None:
+        return self._tls.getpeercert(binary_form=True) if self._tls else None
+
+    async def shake_hands(self) -> None:
+        """The TLS handshake; raises `OSError` (of which `ssl.SSLError` is one) if it fails."""
+        while self._tls is not None:
+            try:
+                self._tls.do_handshake()
+                self._put(self._out.read())
+                return
+            except ssl.SSLWantReadError:
+                self._put(self._out.read())
+                if not await self._fill():
+                    raise ConnectionResetError("closed in the TLS handshake") from None
+            except ssl.SSLError:
+                self._put(self._out.read())  # the alert that says why
+                raise
+
+    async def read(self) -> bytes:
+        """The next bytes; empty at the end of what the other side sends."""
+        if self._tls is None:
+            return await self._receive()
+        while True:
+            try:
+                data = self._tls.read(CHUNK)
+                self._put(self._out.read())
+                return data
+            except ssl.SSLWantReadError:
+                self._put(self._out.read())
+                if not await self._fill():
+                    return b""
+            except (ssl.SSLZeroReturnError, ssl.SSLEOFError):
+                return b""
+
+    async def _fill(self) -> bool:
+        data = await self._receive()
+        self._in.write(data) if data else self._in.write_eof()
+        return bool(data)
+
+    async def _receive(self) -> bytes:
+        while True:
+            # no try before the wait: there is seldom anything yet, and a call in vain costs as much
+            await trio.lowlevel.wait_readable(self.sock)
+            try:
+                return self.sock.recv(CHUNK)
+            except BlockingIOError:
+                continue
+
+    def write(self, data: bytes) -> None:
+        """Takes bytes to be sent; raises `OSError` once the connection is broken."""
+        if self._tls is not None:
+            self._tls.write(data)
+            data = self._out.read()
+        self._put(data)
+
+    def _put(self, data: bytes) -> None:
+        if self.closed:
+            raise BrokenPipeError("the wire is closed")
+        if not data:
+            return
+        if not self._backlog:
+            try:
+                sent = self.sock.send(data)
+            except BlockingIOError:
+                sent = 0
+            self.written += sent
+            if sent == len(data):
+                return
+            data = data[sent:]
+        self._backlog += data
+        self._stirred.set()
+
+    async def pump(self) -> None:
+        """Sends what was kept, for as long as the wire is open; runs beside the reader."""
+        while not self.closed:
+            await self._stirred.wait()
+            while self._backlog and not self.closed:
+                await trio.lowlevel.wait_writable(self.sock)
+                try:
+                    sent = self.sock.send(memoryview(self._backlog)[:CHUNK])
+                except BlockingIOError:
+                    continue
+                self.written += sent
+                del self._backlog[:sent]
+            self._stirred = trio.Event()
+
+    def close(self) -> None:
+        """Ends the connection; what was not sent yet is lost."""
+        if self.closed:
+            return
+        self.closed = True
+        self._stirred.set()
+        trio.lowlevel.notify_closing(self.sock)
+        self.sock.close()
