--- /dev/null
+++ b/tests/processor/test_processor.py
@@ -0,0 +1,362 @@
+"""The external processor asked by a stand-in proxy: one story for each way in which a request can go."""
+
+import socket
+from contextlib import asynccontextmanager
+
+import pytest
+import structlog
+import trio
+from envoy.service.ext_proc.v3.external_processor_pb2 import ProcessingRequest, ProcessingResponse
+
+from wheatroute import config
+from wheatroute.grpc.client import Channel, connected
+from wheatroute.grpc.messages import CallError, Status
+from wheatroute.grpc.server import listen
+from wheatroute.grpc.session import Call, Session
+from wheatroute.processor.service import Service
+from wheatroute.processor.streams import PATH
+from wheatroute.standin.proxy import destination, request_headers, response_headers
+
+VIEW, AMEND, PLACE = 0, 1, 2
+FILE = """
+[[pools]]
+name = "shop"
+{servers}
+[[traffic_types]]
+name = "view"
+effect = "pure"
+paths = ["/view"]
+hard_stop = 1.0
+[[traffic_types]]
+name = "amend"
+effect = "receipted"
+paths = ["/amend"]
+hard_stop = 1.0
+group = "cell"
+repeat_window = 5.0
+[[traffic_types]]
+name = "place"
+effect = "effectful"
+paths = ["/place"]
+hard_stop = 1.0
+[processor]
+listen = "127.0.0.1:1"
+pool = "shop"
+tries = 4
+"""
+
+
+def servers(count=4, **states):
+    return "\n".join(f'[[pools.servers]]\nid = "s{n}"\naddress = "127.0.0.1:{7000 + n}"\ncell = {n // 2}\n'
+                     f'state = "{states.get(f"s{n}", "in_service")}"' for n in range(count))
+
+
+@asynccontextmanager
+async def processor(tmp_path, listed=None, **changes):
+    """The processor in this process, and a channel to it."""
+    path = tmp_path / "file.toml"
+    text = FILE.format(servers=servers() if listed is None else listed)
+    for old, new in changes.items():
+        text = text.replace(old, new)
+    path.write_text(text)
+    service = Service(config.read(str(path)), str(path), 0, structlog.get_logger())
+    listener = listen(("127.0.0.1", 0))
+    with trio.fail_after(20):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(service.run, listener)
+            async with connected(Channel(listener.getsockname())) as channel:
+                await channel.session()
+                yield service, channel
+            nursery.cancel_scope.cancel()
+
+
+def story(tell):
+    def run(tmp_path):
+        trio.run(tell, tmp_path)
+    run.__name__ = tell.__name__
+    return run
+
+
+class Opened:
+    """One request of the proxy."""
+
+    def __init__(self, talk):
+        self.talk = talk
+
+    async def answer(self):
+        message = await self.talk.receive()
+        assert message is not None
+        return ProcessingResponse.FromString(message)
+
+    async def decision(self):
+        """The server named, or the status of the answer that there is none."""
+        answer = await self.answer()
+        if answer.HasField("immediate_response"):
+            return answer.immediate_response.status.code
+        metadata = answer.dynamic_metadata.fields["envoy.lb"].struct_value.fields
+        assert metadata["x-gateway-destination-endpoint"].string_value == destination(answer)
+        return destination(answer)
+
+    async def respond(self, status, **headers):
+        await self.talk.send(response_headers(status, **headers))
+        answer = await self.answer()
+        assert answer.WhichOneof("response") == "response_headers"
+
+
+@asynccontextmanager
+async def asking(channel, name, kind=VIEW, attempt=1, **how):
+    async with channel.call(PATH) as talk:
+        await talk.send(request_headers(name, kind, attempt, **how))
+        yield Opened(talk)
+
+
+async def ask(channel, *what, status=200, **how):
+    """A whole request; the server that it went to."""
+    async with asking(channel, *what, **how) as one:
+        place = await one.decision()
+        if isinstance(place, str):
+            await one.respond(status)
+            one.talk.half_close()
+            assert await one.talk.receive() is None
+        return place
+
+
+def module(service):
+    return service.desk.rounds._balancer
+
+
+async def until(what):
+    while not what():
+        await trio.sleep(0.001)
+
+
+@story
+async def test_each_request_gets_one_decision_and_all_servers_their_part(tmp_path):
+    async with processor(tmp_path) as (service, channel):
+        places = [await ask(channel, f"r{n}", n % 3) for n in range(60)]
+        assert {*places} == {f"127.0.0.1:{7000 + n}" for n in range(4)}
+        assert service.desk.decisions == 60 and not module(service)._commands
+
+
+@story
+async def test_a_proxy_that_gives_up_waiting_leaves_nothing_behind(tmp_path):
+    async with processor(tmp_path, listed=servers(1, s0="terminating")) as (service, channel):
+        async with asking(channel, "r1") as one:
+            await until(lambda: module(service)._commands)
+            assert one.talk.ended is None
+        await until(lambda: not module(service)._commands)
+        assert service.desk.decisions == 0 and sum(module(service)._servers.held) == 0
+        service.list._take({"version": 2, "full": True, "servers": [
+            {"id": "s0", "addr": "127.0.0.1:7000", "state": "in_service"}]})
+        assert await ask(channel, "r1", VIEW, 2) == "127.0.0.1:7000"  # nothing ran: it may have its try
+        assert service.desk.decisions == 1
+
+
+@story
+async def test_no_second_decision_for_an_order_whose_first_may_have_run(tmp_path):
+    async with processor(tmp_path) as (service, channel):
+        async with asking(channel, "order", PLACE) as one:
+            assert isinstance(await one.decision(), str)
+            assert await ask(channel, "order", PLACE, 2) == 502  # while the first is out
+        assert await ask(channel, "order", PLACE, 2) == 502  # its stream ended with no word of the server
+        assert await ask(channel, "order", PLACE) == 502  # nor does it help to call it a first try
+        await until(lambda: sum(module(service)._servers.held) == 0)
+        assert service.desk.decisions == 1
+
+
+@story
+async def test_an_order_that_provably_never_ran_goes_to_another_server(tmp_path):
+    async with processor(tmp_path) as (service, channel):
+        async with asking(channel, "order", PLACE) as one:
+            first = await one.decision()
+            await one.respond(503, not_started="1")
+        second = await ask(channel, "order", PLACE, 2)
+        assert isinstance(second, str) and second != first
+
+
+@story
+async def test_a_receipted_command_is_tried_again_in_its_group_only_and_a_pure_one_anywhere_else(tmp_path):
+    async with processor(tmp_path) as (_, channel):
+        for n in range(10):
+            async with asking(channel, f"amend{n}", AMEND) as one:
+                first = int((await one.decision())[-4:])
+            again = await ask(channel, f"amend{n}", AMEND, 2)
+            assert int(again[-4:]) == first ^ 1  # the other of its cell
+            assert await ask(channel, f"amend{n}", AMEND, 3) == 502  # both have had it
+            async with asking(channel, f"view{n}", VIEW) as one:
+                first = await one.decision()
+            assert await ask(channel, f"view{n}", VIEW, 2) not in (first, 503)
+
+
+@story
+async def test_after_a_restart_a_further_try_may_have_run(tmp_path):
+    async with processor(tmp_path) as (service, channel):
+        assert await ask(channel, "order", PLACE, 2) == 502
+        assert await ask(channel, "amend", AMEND, 2) == 502  # which cell had it is not known any more
+        assert isinstance(await ask(channel, "view", VIEW, 2), str)
+    everywhere = {'group = "cell"': 'group = "all"'}
+    async with processor(tmp_path, **everywhere) as (service, channel):
+        assert isinstance(await ask(channel, "amend", AMEND, 2), str)
+    short = everywhere | {"repeat_window = 5.0": "repeat_window = 0.5"}
+    async with processor(tmp_path, **short) as (service, channel):
+        assert await ask(channel, "amend", AMEND, 2) == 502  # its window may be over
+
+
+@story
+async def test_one_id_from_two_proxies_at_once_is_a_conflict(tmp_path):
+    async with processor(tmp_path, listed=servers(1, s0="terminating")) as (service, channel):
+        async with asking(channel, "same", PLACE):
+            await until(lambda: module(service)._commands)
+            assert await ask(channel, "same", PLACE) == 409
+        async with asking(channel, "other", VIEW):
+            await until(lambda: service.desk.asked == 3)
+            assert await ask(channel, "other", PLACE) == 409  # nor as another traffic type
+
+
+@story
+async def test_a_proxy_that_never_says_how_it_ended_is_not_waited_for(tmp_path):
+    async with processor(tmp_path, **{"hard_stop = 1.0": "hard_stop = 0.1"}) as (service, channel):
+        async with asking(channel, "r", PLACE) as one:
+            assert isinstance(await one.decision(), str)
+            await until(lambda: sum(module(service)._servers.held) == 0)
+            assert not module(service)._commands and one.talk.ended is None
+            await one.respond(200)  # too late to count, but its caller may still want it
+        assert service.desk.decisions == 1
+
+
+async def fails(one, *messages):
+    """The stream is ended for what came out of turn."""
+    with pytest.raises(CallError) as caught:
+        for message in messages:
+            await one.talk.send(message)
+        while await one.talk.receive() is not None:
+            pass
+    assert caught.value.status == Status.INVALID_ARGUMENT
+
+
+def with_body():
+    message = ProcessingRequest()
+    message.request_body.body = b"x" * 1000
+    return message.SerializeToString()
+
+
+@story
+async def test_streams_out_of_order_are_ended_and_cost_nothing(tmp_path):
+    async with processor(tmp_path) as (service, channel):
+        for first in (response_headers(200), with_body(), b"", b"\xff\xff", with_body() + b"\xff"):
+            async with channel.call(PATH) as talk:
+                await fails(Opened(talk), first)
+        async with asking(channel, "twice") as one:
+            await one.decision()
+            await fails(one, request_headers("twice", VIEW, 1))
+        async with asking(channel, "answered twice") as one:
+            await one.decision()
+            await one.respond(200)
+            await fails(one, response_headers(200))
+        async with channel.call(PATH) as talk:  # nothing at all
+            talk.half_close()
+            assert await talk.receive() is None
+        async with asking(channel, "body") as one:
+            await one.decision()
+            await one.talk.send(with_body())
+            assert (await one.answer()).WhichOneof("response") == "request_body"
+            await one.respond(200)
+        await until(lambda: not module(service)._commands)
+        assert sum(module(service)._servers.held) == 0
+
+
+@story
+async def test_what_makes_no_command_is_answered_with_the_reason(tmp_path):
+    async with processor(tmp_path) as (service, channel):
+        cases = (({":path": "/nowhere"}, 404), ({"request-timeout": "soon"}, 400),
+                 ({"x-request-id": ""}, 400))
+        for headers, status in cases:
+            async with channel.call(PATH) as talk:
+                await talk.send(request_headers("r", VIEW, 1, **headers))
+                assert await Opened(talk).decision() == status
+        assert service.desk.decisions == 0
+
+
+@story
+async def test_a_server_that_drains_between_decision_and_response_gets_nothing_new(tmp_path):
+    async with processor(tmp_path, listed=servers(1)) as (service, channel):
+        async with asking(channel, "r1") as one:
+            assert await one.decision() == "127.0.0.1:7000"
+            service.list._take({"version": 2, "full": False, "servers": [
+                {"id": "s0", "addr": "127.0.0.1:7000", "state": "terminating"}]})
+            await one.respond(200)
+        assert await ask(channel, "r2", time_out=0.2) == 503  # all servers are gone: told, and in time
+        service.list._take({"version": 3, "full": True, "servers": [
+            {"id": "s0", "addr": "127.0.0.1:7009", "state": "in_service"}]})
+        assert await ask(channel, "r3") == "127.0.0.1:7009"  # and at its new address
+
+
+@story
+async def test_a_bounce_says_when_to_come_back(tmp_path):
+    async with processor(tmp_path, listed=servers(1, s0="terminating")) as (_, channel):
+        async with asking(channel, "r", time_out=0.1) as one:
+            answer = (await one.answer()).immediate_response
+            found = {item.header.key: item.header.raw_value for item in answer.headers.set_headers}
+            assert (answer.status.code, answer.details) == (503, "wheatroute-bounced")
+            assert found == {"retry-after": b"1"}
+
+
+@story
+async def test_a_failing_server_is_learned_of_by_its_responses(tmp_path):
+    async with processor(tmp_path) as (service, channel):
+        got = []
+        for n in range(200):
+            async with asking(channel, f"r{n}") as one:
+                place = await one.decision()
+                got.append(place)
+                await one.respond(500 if place.endswith("7001") else 200)
+        assert got[100:].count("127.0.0.1:7001") < 10  # of an even 25
+
+
+@story
+async def test_a_proxy_that_reads_nothing_hurts_no_other(tmp_path):
+    async with processor(tmp_path) as (service, channel):
+        place = channel.place
+        with socket.create_connection(place) as slow:
+            slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            from wheatroute.wire import Wire
+            mute = Session(Wire(slow.dup()), True, channel.bounds)
+            mute.h2.initiate_connection()
+            for n in range(180):
+                call = Call(0, mute, {})
+                call = mute.open([(b":method", b"POST"), (b":scheme", b"http"), (b":authority", b"t"),
+                                  (b":path", PATH), (b"content-type", b"application/grpc")], call.receiver)
+                call.send(request_headers(f"slow{n}", VIEW, 1, **{":path": "/nowhere"}))
+                mute.flush()
+            for n in range(100):
+                assert isinstance(await ask(channel, f"quick{n}"), str)
+            assert all(session.wire.backlog <= 2 << 20 for session in service.server.sessions)
+            mute.wire.close()
+
+
+@story
+async def test_sigterm_answers_what_is_open_and_takes_nothing_new(tmp_path):
+    async with processor(tmp_path, listed=servers(1, s0="terminating")) as (service, channel):
+        async with asking(channel, "waits", PLACE) as waits:
+            await until(lambda: module(service)._commands)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(service.stop)
+                await until(lambda: not channel.up)
+                service.list._take({"version": 2, "full": True, "servers": [
+                    {"id": "s0", "addr": "127.0.0.1:7000", "state": "in_service"}]})
+                assert await waits.decision() == "127.0.0.1:7000"
+                await waits.respond(200)
+                waits.talk.half_close()
+                assert await waits.talk.receive() is None
+
+
+@story
+async def test_a_new_file_is_taken_whole_or_not_at_all(tmp_path):
+    async with processor(tmp_path) as (service, channel):
+        path = tmp_path / "file.toml"
+        path.write_text("[[pools]]\nname = 3\n")
+        service.reload()
+        assert {await ask(channel, f"a{n}") for n in range(40)} == {f"127.0.0.1:{7000 + n}" for n in range(4)}
+        path.write_text(FILE.format(servers=servers(2)))
+        service.reload()
+        assert {await ask(channel, f"b{n}") for n in range(40)} == {"127.0.0.1:7000", "127.0.0.1:7001"}
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,63 @@
+"""The program's file: what is wrong with it is told in one line each, and nothing of it is taken."""
+
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from wheatroute import config
+from wheatroute.cli import main
+
+GOOD = Path(__file__).parent.parent / "deploy" / "processor.toml"
+
+
+def lines(tmp_path, *changes):
+    text = GOOD.read_text()
+    for old, new in changes:
+        assert old in text, old
+        text = text.replace(old, new, 1)
+    path = tmp_path / "file.toml"
+    path.write_text(text)
+    with pytest.raises(config.ConfigError) as caught:
+        config.read(str(path))
+    return [line.removeprefix(f"{path}: ") for line in caught.value.lines]
+
+
+def test_the_example_is_good_and_becomes_the_modules_terms():
+    told = config.told_to_processor(config.read(str(GOOD)), 0)
+    assert told["terms"]["nodes"] >= 1 and told["known"]["servers"]
+
+
+@pytest.mark.parametrize("change, key, reason", [
+    (("hard_stop", "hard_stopp"), "traffic_types[0].hard_stopp", "is no key"),
+    (("hard_stop = ", "hard_stop = -"), "traffic_types[0].hard_stop", "greater than 0"),
+    (("workers = 1", 'workers = "one"'), "processor.workers", "valid integer"),
+    (('pool = "', 'pool = "no'), "", "no pool of the name"),
+    (('effect = "pure"', 'effect = "pur"'), "traffic_types[0].effect", "'pure', 'receipted'"),
+    (('listen = "', 'listen = "somewhere'), "processor.listen", "no IPv4 address"),
+])
+def test_each_mistake_names_its_key_and_reason(tmp_path, change, key, reason):
+    told = lines(tmp_path, change)
+    assert any(line.startswith(key) and reason in line for line in told), told
+
+
+def test_names_given_twice_and_several_mistakes_at_once_are_all_told(tmp_path):
+    text = GOOD.read_text()
+    pool = text[text.index("[[pools]]"):text.index("[[traffic_types]]")]
+    assert lines(tmp_path, (pool, pool + pool)) == ["pools: two of the name 'shop'"]
+    assert len(lines(tmp_path, ("hard_stop", "hard_stopp"), ("workers = 1", "workers = 0"))) == 3
+
+
+def test_what_is_no_toml_or_no_file_is_said(tmp_path):
+    (tmp_path / "bad.toml").write_text("[pools")
+    for path, reason in ((tmp_path / "bad.toml", "is not TOML"), (tmp_path / "none", "cannot be read"),
+                         (tmp_path, "cannot be read")):
+        with pytest.raises(config.ConfigError, match=reason):
+            config.read(str(path))
+
+
+def test_the_command_line_checks_a_file_and_exits_with_2_for_a_bad_one(tmp_path):
+    assert CliRunner().invoke(main, ["check", str(GOOD)]).exit_code == 0
+    (tmp_path / "bad.toml").write_text("nodes = 0")
+    result = CliRunner().invoke(main, ["check", str(tmp_path / "bad.toml")])
+    assert result.exit_code == 2 and "nodes" in result.output
--- /dev/null
+++ b/wheatroute/cli.py
@@ -0,0 +1,52 @@
+"""The command line. Owns its subcommands, nothing of what they do."""
+
+from __future__ import annotations
+
+import sys
+
+import click
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="wheatroute")
+def main() -> None:
+    """Load balancing for services that call services."""
+
+
+@main.command()
+def node() -> None:
+    """One node on sockets, as `python -m wheatroute`; PROXY_CONFIG names its JSON file."""
+    from wheatroute.__main__ import main as serve
+    sys.exit(serve())
+
+
+@main.command()
+@click.argument("file", type=click.Path())
+@click.option("--worker", type=click.IntRange(0), hidden=True, help="be this worker of a keeper")
+@click.option("--descriptor", type=int, default=-1, hidden=True, help="accept on this open listener")
+def processor(file: str, worker: int | None, descriptor: int) -> None:
+    """The external processor that FILE describes: other proxies ask it where to send."""
+    from wheatroute.processor import service
+    sys.exit(service.run(file) if worker is None else service.serve(file, worker, descriptor))
+
+
+@main.command()
+@click.argument("file", type=click.Path())
+def check(file: str) -> None:
+    """Checks FILE whole and says what is wrong, a line each; exit status 2 if anything is."""
+    from wheatroute import config
+    from wheatroute.tls import Contexts, TlsError
+    try:
+        told = config.read(file)
+        if told.processor is not None and (tls := told.processor.tls) is not None:
+            Contexts(tls.certificate, tls.key, tls.client_authorities)
+    except (config.ConfigError, TlsError) as trouble:
+        told_by = "" if isinstance(trouble, config.ConfigError) else f"{file}: processor.tls: "
+        click.echo(f"{told_by}{trouble}", err=True)
+        sys.exit(2)
+    front = "processor" if told.processor is not None else "no front"
+    click.echo(f"{file}: good: {len(told.pools)} pools, {len(told.traffic_types)} traffic types, {front}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wheatroute/config.py
@@ -0,0 +1,280 @@
+"""The program's file: one TOML text for all fronts, checked whole before anything starts.
+
+Owns its shape, its checks and what stands in where it is silent. It must never let a part of a file count:
+whatever is wrong is told in one line each, with file, key and reason, and nothing of it is taken. What the
+platform tells its node at start is `net/boot.py`'s, and has nothing to do with this.
+"""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator, model_validator
+
+from wheatroute.interface import Effect, Group
+from wheatroute.net.boot import address
+from wheatroute.words import EFFECTS, GROUPS, Numbers
+
+Seconds = Annotated[float, Field(ge=0.0, allow_inf_nan=False)]
+Some = Annotated[float, Field(gt=0.0, allow_inf_nan=False)]
+Share = Annotated[float, Field(gt=0.0, le=1.0)]
+Count = Annotated[int, Field(ge=1, le=1_000_000)]
+Name = Annotated[str, Field(min_length=1, max_length=200)]
+WORDS = {"pure": Effect.PURE, "receipted": Effect.RECEIPTED, "effectful": Effect.EFFECTFUL}
+DESTINATION = "x-gateway-destination-endpoint"  # of the Gateway API's endpoint picker, with its namespace
+NAMESPACE = "envoy.lb"
+
+
+class ConfigError(Exception):
+    """A file that is no use: `lines`, one for each thing that is wrong."""
+
+    def __init__(self, lines: list[str]) -> None:
+        super().__init__("\n".join(lines))
+        self.lines = lines
+
+
+class Table(BaseModel):
+    """A table of the file: keys that it does not know are wrong."""
+
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+
+
+def _address(text: str) -> str:
+    address(text)
+    return text
+
+
+class Tls(Table):
+    """Certificate and key of a listener."""
+
+    certificate: Name
+    key: Name
+    client_authorities: str = ""
+
+
+class Server(Table):
+    """A server that the file itself lists."""
+
+    id: Name
+    address: str
+    zone: str = ""
+    model: str = ""
+    cell: int = 0
+    state: Literal["in_service", "terminating"] = "in_service"
+
+    _checked = field_validator("address")(_address)
+
+
+class TrafficType(Table):
+    """What kind of commands there are, and what may be done with them."""
+
+    name: Name
+    effect: Literal["pure", "receipted", "effectful"]
+    paths: list[Annotated[str, Field(pattern="^/")]] = Field(min_length=1)
+    methods: list[Name] = []
+    hard_stop: Some
+    target_time: Some | None = None
+    utility: Some = 1.0
+    late_utility: Seconds = 0.0
+    group: Literal["all", "zone", "cell"] = "all"
+    repeat_window: Seconds = 0.0
+
+    @model_validator(mode="after")
+    def _ordered(self) -> TrafficType:
+        if self.target_time is not None and self.target_time > self.hard_stop:
+            raise ValueError("target_time is beyond hard_stop")
+        return self
+
+
+class Customer(Table):
+    """A customer and its share, in commands a second for all nodes together; 0 for none."""
+
+    name: Name
+    rate: Seconds = 0.0
+
+
+class Rules(Table):
+    """What the servers of a pool bear. The names are those of the rules in `docs/design.md`."""
+
+    cold_time: Seconds = 20.0
+    cold_share: Share = 0.3
+    drain_grace: Seconds = 2.0
+    fall_span: Some = 1.0
+    fall_multiple: Some = 3.0
+    answer_slack: Seconds = 0.02
+
+
+class Pool(Table):
+    """Servers that stand in for one another."""
+
+    name: Name
+    list_service: str | None = None
+    zones: list[Name] = []
+    zone: str = ""
+    crossing_price: Seconds = 0.0
+    connect_within: Some = 0.25
+    rules: Rules = Rules()
+    servers: list[Server] = []
+
+    @field_validator("list_service")
+    @classmethod
+    def _place(cls, text: str | None) -> str | None:
+        return text if text is None else _address(text)
+
+    @model_validator(mode="after")
+    def _whole(self) -> Pool:
+        if bool(self.servers) == bool(self.list_service):
+            raise ValueError("servers of its own or a list_service, one of the two")
+        _unlike("servers", [one.id for one in self.servers])
+        if self.zone and self.zone not in self.zones:
+            raise ValueError(f"zone {self.zone!r} is not among its zones")
+        return self
+
+
+class Headers(Table):
+    """Which header of the proxy means what; an empty name turns one off."""
+
+    request_id: Name = "x-request-id"
+    time_out: str = "request-timeout"
+    customer: str = "tenant"
+    receipt: str = "idempotency-key"
+    attempt: str = "x-envoy-attempt-count"
+    repeated: str = "client-retry"
+
+
+class Processor(Table):
+    """The external processor."""
+
+    listen: str
+    pool: Name
+    workers: Annotated[int, Field(ge=1, le=64)] = 1
+    destination_header: str = DESTINATION
+    metadata_namespace: str = NAMESPACE
+    time_header: str = ""
+    tries: Annotated[int, Field(ge=1, le=20)] = 3
+    most_connections: Count = 512
+    most_streams: Count = 1000
+    most_ids: Count = 200_000
+    longest_advice: Seconds = 2.0
+    headers: Headers = Headers()
+    tls: Tls | None = None
+
+    _checked = field_validator("listen")(_address)
+
+
+class File(Table):
+    """All of it."""
+
+    name: Name = "wheatroute"
+    seed: str = ""
+    nodes: Count = 1
+    node: Annotated[int, Field(ge=0)] = 0
+    pools: list[Pool] = Field(min_length=1)
+    traffic_types: list[TrafficType] = Field(min_length=1)
+    customers: list[Customer] = []
+    processor: Processor | None = None
+
+    @model_validator(mode="after")
+    def _whole(self) -> File:
+        for key, names in (("pools", [one.name for one in self.pools]),
+                           ("traffic_types", [one.name for one in self.traffic_types]),
+                           ("customers", [one.name for one in self.customers])):
+            _unlike(key, names)
+        if self.node >= self.nodes:
+            raise ValueError(f"node {self.node} of {self.nodes}: nodes are numbered from 0")
+        if self.processor is not None and self.processor.pool not in [one.name for one in self.pools]:
+            raise ValueError(f"processor.pool: no pool of the name {self.processor.pool!r}")
+        return self
+
+
+def _unlike(key: str, names: list[str]) -> None:
+    twice = sorted({name for name in names if names.count(name) > 1}) if len(set(names)) < len(names) else []
+    if twice:
+        raise ValueError(f"{key}: two of the name {twice[0]!r}")
+
+
+def read(path: str) -> File:
+    """The file, whole and checked; raises `ConfigError`."""
+    try:
+        text = Path(path).read_bytes().decode()
+        told = tomllib.loads(text)
+    except OSError as trouble:
+        raise ConfigError([f"{path}: cannot be read: {os.strerror(trouble.errno or 0)}"]) from trouble
+    except UnicodeDecodeError as trouble:
+        raise ConfigError([f"{path}: is not UTF-8 at byte {trouble.start}"]) from trouble
+    except tomllib.TOMLDecodeError as trouble:
+        raise ConfigError([f"{path}: is not TOML: {trouble}"]) from trouble
+    try:
+        return File.model_validate(told)
+    except ValidationError as trouble:
+        raise ConfigError([_line(path, one) for one in trouble.errors()]) from trouble
+
+
+def _line(path: str, error: Any) -> str:
+    key = "".join(f"[{part}]" if isinstance(part, int) else f".{part}" for part in error["loc"]).lstrip(".")
+    reason = {"extra_forbidden": "is no key of this table", "missing": "is missing"}.get(
+        error["type"], error["msg"].removeprefix("Value error, "))
+    return f"{path}: {key or 'the whole'}: {reason}" if error["loc"] else f"{path}: {reason}"
+
+
+def told_to_processor(file: File, worker: int = 0) -> dict[str, Any]:
+    """What one worker of the processor is told, in the words of the rest of the program.
+
+    A worker is one more node: it shares nothing with the others and has a place of its own in the split.
+    """
+    front = file.processor
+    if front is None:
+        raise ConfigError(["no [processor] in the file"])
+    pool = next(one for one in file.pools if one.name == front.pool)
+    zones, models = Numbers({zone: i for i, zone in enumerate(pool.zones)}), Numbers()
+    kinds = [_kind(one) for one in file.traffic_types]
+    longest = max(kind["hard_stop"] for kind in kinds)
+    return {
+        "name": f"{file.name}-{worker}" if front.workers > 1 else file.name,
+        "seed": f"{file.seed}/{file.node}/{worker}",
+        "terms": _terms(file, pool, front, kinds, worker, zones),
+        "zones": zones, "models": models,
+        "customers": {one.name: i for i, one in enumerate(file.customers)},
+        "discovery": address(pool.list_service) if pool.list_service else None,
+        "known": {"version": 0, "full": True, "servers": [
+            {"id": one.id, "addr": one.address, "zone": one.zone, "kind": one.model, "cell": one.cell,
+             "state": one.state} for one in pool.servers]} if pool.servers else {},
+        "headers": front.headers.model_dump(),
+        "destination_header": front.destination_header, "metadata_namespace": front.metadata_namespace,
+        "time_header": front.time_header, "most_ids": front.most_ids,
+        # an id may come again for as long as its command or the window of its receipt lasts
+        "remembered": 2.0 * longest + max(kind["repeat_window"] for kind in kinds),
+    }
+
+
+def _kind(one: TrafficType) -> dict[str, Any]:
+    return {"target_time": one.target_time or one.hard_stop, "stretch": 0.0, "hard_stop": one.hard_stop,
+            "utility": one.utility, "late_utility": one.late_utility, "effect": WORDS[one.effect],
+            "group": GROUPS[one.group], "repeat_window": one.repeat_window, "streamed": False,
+            "paths": one.paths, "methods": one.methods}
+
+
+def _terms(file: File, pool: Pool, front: Processor, kinds: list[dict[str, Any]], worker: int,
+           zones: Numbers) -> dict[str, Any]:
+    """The module's terms: the proxy carries relays out, so there are no copies, withdrawals or probes."""
+    rules = pool.rules
+    return {
+        "nodes": file.nodes * front.workers, "node": file.node * front.workers + worker,
+        "tick": 0.001, "tier": 0, "tiers": 1, "zones": max(1, len(pool.zones)), "zone": zones[pool.zone],
+        "second_copies": False, "withdrawals": False, "probes": False, "bounce_advice": True,
+        "longest_advice": front.longest_advice, "most_relays": front.tries,
+        "connect_within": pool.connect_within, "idle_closed": float("inf"), "calls_per_connection": 1,
+        "most_open": 0, "excess_utility": 0.05, "time_left_passed_on": True,
+        "crossing_price": pool.crossing_price, "waste_price": 0.0, "late_price": 0.0, "report_how": "answers",
+        "reported": [], "work_counts": False, "ask_within": 10.0, "list_on_request": False,
+        "answer_slack": rules.answer_slack, "cold_time": rules.cold_time, "cold_share": rules.cold_share,
+        "drain_grace": rules.drain_grace, "fall_span": rules.fall_span, "fall_multiple": rules.fall_multiple,
+        "traffic_types": kinds,
+        "customers": [{"portion": 0.0, "quota": one.rate} for one in file.customers],
+    }
+
+
+assert set(WORDS.values()) == set(EFFECTS.values()) and set(GROUPS.values()) == set(Group)
--- /dev/null
+++ b/wheatroute/processor/desk.py
@@ -0,0 +1,196 @@
+"""Where streams, the module and the list of servers meet: one desk a process.
+
+Owns the rounds of this front, the servers' addresses and the relays that proxies carry out. A relay is out
+from the decision until the proxy says what became of it, or its time is over. It must never tell the module
+of an end twice or not at all, and sends nothing to a server itself.
+"""
+
+from __future__ import annotations
+
+from heapq import heappop, heappush
+from typing import Any
+
+import trio
+
+from wheatroute.grpc.session import Call, Session
+from wheatroute.interface import Event, Outcome, Report
+from wheatroute.net.discovery import Discovery
+from wheatroute.net.exchange import Answer, Exchange, Relay
+from wheatroute.net.rounds import Rounds, now
+from wheatroute.processor.accounts import Accounts
+from wheatroute.processor.mapping import Reader
+from wheatroute.processor.streams import ROUTED, Asked, Place, Stream, Words
+
+SWEEP = 0.02  # seconds between two looks at relays whose time is over
+GRACE = 0.05  # seconds after its time in which a proxy may still say what became of a relay
+
+
+class Turns(Rounds):
+    """Rounds that are played at the end of a burst, without waking a task for each."""
+
+    def __init__(self, terms: dict[str, Any], seed: str, log: Any) -> None:
+        super().__init__(terms, seed, log)
+        self.quiet = False  # a burst is being read: its end plays the round
+        self.dirty: set[Session] = set()  # sessions with answers to send
+
+    def happened(self, *event: Any) -> None:
+        self._events.append(event)
+        if not self.quiet:
+            self._stirred.set()
+
+    def arrived(self, exchange: Exchange) -> None:
+        """With what came before, whose relays are counted: the module numbers on from there."""
+        earlier = exchange.earlier if isinstance(exchange, Asked) else ()
+        exchange.number, self._taken = self._taken, self._taken + 1
+        exchange.hard_stop = now() + exchange.left
+        exchange.relays = [Relay(server, n, when, 0.0) for n, (server, when, _) in enumerate(earlier)]
+        self._held[exchange.number] = exchange
+        heappush(self._stops, (exchange.hard_stop + self._slack, exchange.number))
+        self.happened(Event.ARRIVED, exchange.number, exchange.kind, exchange.left, exchange.customer,
+                      exchange.repeated, earlier)
+
+    def turn(self) -> None:
+        """All that came in this burst, and what came of it."""
+        self.quiet = True
+        while self._events:
+            self.round(now())
+        self.quiet = False
+        self._set_alarm()
+
+    def round(self, moment: float) -> None:
+        super().round(moment)
+        for session in self.dirty:
+            session.flush()
+        self.dirty.clear()
+
+
+class Desk:
+    """The servers' side of the rounds, and what streams are told by."""
+
+    def __init__(self, told: dict[str, Any], log: Any) -> None:
+        self._log = log
+        self.rounds = Turns(told["terms"], told["seed"], log)
+        self.rounds.servers = self
+        self.words = Words(told["destination_header"], told["metadata_namespace"], told["time_header"])
+        self._reader = Reader(told["headers"], told["terms"]["traffic_types"], told["customers"])
+        self._accounts = Accounts(told["terms"]["traffic_types"], told["remembered"], told["most_ids"])
+        self._places: dict[int, bytes] = {}
+        self._busy: dict[int, int] = {}
+        self._out: list[tuple[float, int, Stream]] = []  # relays out, by when their time is over
+        self.decisions = self.refusals = 0
+        self.asked = 0
+
+    async def run(self) -> None:
+        """Ends relays that proxies never speak of again."""
+        while True:
+            await trio.sleep(SWEEP)
+            moment, ended = now(), False
+            while self._out and (self._out[0][0] <= moment or self._out[0][2].place != Place.DECIDED):
+                stream = heappop(self._out)[2]
+                self.rounds.quiet = True
+                stream.give_up()
+                ended = True
+            if ended:
+                self.rounds.turn()
+
+    def opened(self, call: Call) -> Stream:
+        return Stream(call, self, self.words)
+
+    def burst(self) -> None:
+        self.rounds.turn()
+
+    # streams
+
+    def arrived(self, stream: Stream, headers: Any) -> Asked:
+        self.rounds.quiet = True
+        self.asked += 1
+        ask = self._reader.ask((one.key, one.raw_value or one.value.encode()) for one in headers)
+        account, earlier = self._accounts.take(ask.name, ask.kind, now(), ask.left, ask.attempt)
+        exchange = Asked(stream, ask, earlier, account)
+        exchange.when_settled = stream.settled
+        self.rounds.arrived(exchange)
+        return exchange
+
+    def left(self, exchange: Asked) -> None:
+        """The proxy went before there was a decision: nothing ran."""
+        self.rounds.quiet = True
+        self._accounts.never_ran(exchange.account)
+        self.rounds.left(exchange)
+
+    def ended(self, exchange: Asked, outcome: Outcome, report: Report | None) -> None:
+        relay = exchange.stream.relay
+        if relay is None:
+            return
+        self.rounds.quiet = True
+        if outcome in (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT):
+            self._accounts.never_ran(exchange.account)
+        self._busy[relay.server] -= 1
+        self.rounds.returned(exchange, relay, outcome, report)
+
+    def answered(self, call: Call) -> None:
+        self.rounds.dirty.add(call.session)
+
+    # the servers' side of the rounds
+
+    def start(self, exchange: Exchange, relay: Relay) -> None:
+        assert isinstance(exchange, Asked)
+        place = self._places.get(relay.server)
+        moment = now()
+        left = exchange.hard_stop - moment
+        # entered before it is written: the stream may end while it is
+        self._accounts.decided(exchange.account, relay.server, moment)
+        self._busy[relay.server] = self._busy.get(relay.server, 0) + 1
+        if place is None or not exchange.stream.decided(relay, place, left):
+            self._accounts.never_ran(exchange.account)
+            self._busy[relay.server] -= 1
+            self.rounds.returned(exchange, relay, Outcome.MOOT, None)
+            return
+        self.decisions += 1
+        heappush(self._out, (exchange.hard_stop + GRACE, exchange.number, exchange.stream))
+        exchange.settle(Answer(ROUTED))
+
+    def place(self, server: int, place: tuple[str, int]) -> None:
+        self._places[server] = b"%s:%d" % (place[0].encode(), place[1])
+
+    def release(self, server: int) -> bool:
+        if self._busy.get(server):
+            return False
+        self._busy.pop(server, None)
+        self._places.pop(server, None)
+        return True
+
+    def probe(self, server: int) -> None:
+        """Proxies carry relays out; there is nothing here to probe with."""
+
+    def shut_idle(self, server: int) -> None:
+        """Connections to servers are the proxy's."""
+
+
+class Listed(Discovery):
+    """The list of servers: from a list service where the file names one, else from the file itself."""
+
+    def __init__(self, told: dict[str, Any], rounds: Rounds, desk: Desk, log: Any) -> None:
+        self._served = told["discovery"] is not None
+        super().__init__(told | {"discovery": told["discovery"] or ("", 0)}, rounds, desk, log)  # type: ignore
+        self.known = True
+
+    async def run(self) -> None:
+        if self._served:
+            await super().run()
+        else:
+            await trio.sleep_forever()
+
+    def watch(self, enable: bool) -> None:
+        if self._served:
+            super().watch(enable)
+
+    def fetch(self) -> None:
+        if self._served:
+            super().fetch()
+
+    def retake(self, told: dict[str, Any]) -> None:
+        """Takes a new file's servers, or its list service."""
+        if self._served and told["discovery"]:
+            self.move(told["discovery"])
+        elif not self._served and not told["discovery"]:
+            self._take(told["known"])
--- /dev/null
+++ b/wheatroute/processor/service.py
@@ -0,0 +1,224 @@
+"""The processor as a program: its workers, its listener, what it does on signals, and how it stops.
+
+Owns the processes. With one worker the program is that worker; with several, a keeper holds the listener,
+starts them, starts a crashed one anew with growing waits, and passes signals on. It must never end with
+commands unanswered while they can still be answered.
+"""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import trio
+
+from wheatroute import config
+from wheatroute.grpc.server import Server, listen
+from wheatroute.grpc.session import Bounds
+from wheatroute.net.log import open_log
+from wheatroute.processor.desk import Desk, Listed
+from wheatroute.processor.streams import PATH
+from wheatroute.tls import Contexts, TlsError
+
+HELD = 10.0  # seconds that a worker must have lived for its next end to count as its first
+FIRST_WAIT, LONGEST_WAIT = 0.1, 10.0  # seconds until an ended worker is started anew
+LEAVING = 1.0  # seconds beyond the longest hard stop in which proxies may end their streams
+
+
+class Service:
+    """One worker."""
+
+    def __init__(self, file: config.File, path: str, worker: int, log: Any) -> None:
+        self._file, self._path, self._worker, self._log = file, path, worker, log
+        told, front = config.told_to_processor(file, worker), file.processor
+        assert front is not None
+        self._longest = max(kind["hard_stop"] for kind in told["terms"]["traffic_types"])
+        self.desk = Desk(told, log)
+        self.list = self.desk.rounds.discovery = Listed(told, self.desk.rounds, self.desk, log)
+        tls = front.tls
+        self._tls = Contexts(tls.certificate, tls.key, tls.client_authorities) if tls else None
+        self.server = Server({PATH: self.desk.opened}, Bounds(streams=front.most_streams), log, self._tls,
+                             front.most_connections, self.desk.burst, front.workers > 1)
+
+    async def run(self, listener: socket.socket, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
+        """Serves until SIGTERM or `stop`, and until what is open is answered."""
+        trio.lowlevel.add_instrument(self.desk.rounds.passes)
+        async with trio.open_nursery() as nursery:
+            for task in (self.list.run, self.desk.run, self.desk.rounds.run):
+                nursery.start_soon(task)
+            self._log.info("listening", place="{}:{}".format(*listener.getsockname()[:2]))
+            task_status.started()
+            await self.server.run([listener])
+            self._log.info("stopped", asked=self.desk.asked, decisions=self.desk.decisions)
+            nursery.cancel_scope.cancel()
+
+    async def stop(self) -> None:
+        """GOAWAY to every proxy; what is open is answered, and ended once its time is over."""
+        self.server.stop()
+        with trio.move_on_after(self._longest + LEAVING):
+            while self.server.sessions:
+                await trio.sleep(0.01)
+        self.server.end("stopping")
+
+    def reload(self) -> None:
+        """Takes from the file what a running worker can change; one of no use changes nothing."""
+        try:
+            file = config.read(self._path)
+            told = config.told_to_processor(file, self._worker)
+            if self._tls is not None:
+                self._tls.renew()
+        except (config.ConfigError, TlsError) as trouble:
+            for line in str(trouble).splitlines():
+                self._log.warning("not-reloaded", trouble=line)
+            return
+        self.list.retake(told)
+        kept = until_restart(self._file, file)
+        self._log.info("reloaded", **{"until_restart": ",".join(kept)} if kept else {})
+
+    async def heed(self) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    self.reload()
+                    continue
+                self._log.info("stopping", signal=signal.Signals(number).name)
+                await self.stop()
+                return
+
+
+def until_restart(old: config.File, new: config.File) -> list[str]:
+    """What of a new file a running worker does not take."""
+    kept = [name for name in ("name", "seed", "nodes", "node", "traffic_types", "customers", "processor")
+            if getattr(old, name) != getattr(new, name)]
+    bare = [[pool.model_copy(update={"servers": [], "list_service": None}) for pool in one.pools]
+            for one in (old, new)]
+    return kept + (["pools"] if bare[0] != bare[1] else [])
+
+
+def serve(path: str, worker: int = 0, descriptor: int = -1) -> int:
+    """One worker in the foreground; the exit status."""
+    try:
+        file = config.read(path)
+        told = config.told_to_processor(file, worker)
+        log = open_log(told["name"])
+        service = Service(file, path, worker, log)
+    except (config.ConfigError, TlsError) as trouble:
+        print("\n".join(f"wheatroute: {line}" for line in str(trouble).splitlines()), file=sys.stderr)
+        return 2
+    try:
+        listener = socket.socket(fileno=descriptor) if descriptor >= 0 else listen(_place(file))
+        listener.setblocking(False)
+    except OSError as trouble:
+        print(f"wheatroute: {trouble}", file=sys.stderr)
+        return 1
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # before it is heeded it must end nothing
+    gc.freeze()  # what is loaded by now stays for good
+    gc.set_threshold(10000, 20, 50)
+    trio.run(_serve, service, listener)
+    return 0
+
+
+async def _serve(service: Service, listener: socket.socket) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(service.heed)
+        await service.run(listener)
+        nursery.cancel_scope.cancel()
+
+
+def _place(file: config.File) -> tuple[str, int]:
+    assert file.processor is not None
+    return config.address(file.processor.listen)
+
+
+def run(path: str) -> int:
+    """The processor as the file has it: one worker in this process, or a keeper of several."""
+    try:
+        file = config.read(path)
+        config.told_to_processor(file)
+    except config.ConfigError as trouble:
+        print("\n".join(f"wheatroute: {line}" for line in trouble.lines), file=sys.stderr)
+        return 2
+    assert file.processor is not None
+    if file.processor.workers == 1:
+        return serve(path)
+    try:
+        listener = listen(_place(file))
+    except OSError as trouble:
+        print(f"wheatroute: {trouble}", file=sys.stderr)
+        return 1
+    log = open_log(file.name)
+    keeper = Keeper([_command(path, worker, listener.fileno()) for worker in range(file.processor.workers)],
+                    (listener.fileno(),), log)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    trio.run(keeper.run)
+    return keeper.status
+
+
+def _command(path: str, worker: int, descriptor: int) -> list[str]:
+    return [sys.executable, "-m", "wheatroute.cli", "processor", path, "--worker", str(worker),
+            "--descriptor", str(descriptor)]
+
+
+class Keeper:
+    """Keeps one process for each command line going, until it is told to stop."""
+
+    def __init__(self, commands: list[list[str]], descriptors: tuple[int, ...], log: Any,
+                 start: Callable[..., subprocess.Popen[bytes]] = subprocess.Popen) -> None:
+        self._commands, self._descriptors, self._log, self._start = commands, descriptors, log, start
+        self.children: dict[int, subprocess.Popen[bytes]] = {}
+        self.status = 0
+        self._stopping = False
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._heed)
+            async with trio.open_nursery() as keeping:
+                for worker in range(len(self._commands)):
+                    keeping.start_soon(self._keep, worker)
+            nursery.cancel_scope.cancel()
+
+    async def _keep(self, worker: int) -> None:
+        wait = FIRST_WAIT
+        while not self._stopping:
+            began = trio.current_time()
+            child = self._start(self._commands[worker], pass_fds=self._descriptors)
+            self.children[worker] = child
+            if self._stopping:
+                child.send_signal(signal.SIGTERM)
+            status = await trio.to_thread.run_sync(child.wait, abandon_on_cancel=True)
+            del self.children[worker]
+            if self._stopping:
+                self.status = self.status or max(0, status)
+                return
+            if status == 2:
+                # what it was told is no use, which no restart changes
+                self.status = 2
+                self._stop(signal.SIGTERM)
+                return
+            wait = FIRST_WAIT if trio.current_time() - began > HELD else min(LONGEST_WAIT, 2 * wait)
+            self._log.warning("worker-ended", worker=worker, status=status, again_in=round(wait, 2))
+            await trio.sleep(wait)
+
+    async def _heed(self) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    self._pass_on(number)
+                else:
+                    self._log.info("stopping", signal=signal.Signals(number).name)
+                    self._stop(signal.SIGTERM)
+
+    def _stop(self, number: int) -> None:
+        self._stopping = True
+        self._pass_on(number)
+
+    def _pass_on(self, number: int) -> None:
+        for child in self.children.values():
+            if child.poll() is None:
+                os.kill(child.pid, number)
--- /dev/null
+++ b/wheatroute/processor/streams.py
@@ -0,0 +1,253 @@
+"""One stream of a proxy: its messages, and the answers that the protocol of external processing has for them.
+
+Owns the order of messages on a stream and the words of the answers, as published in
+envoy.service.ext_proc.v3. It must never write two decisions, nor one for a command that is over, and never
+holds a body or a trailer: they are answered at once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import IntEnum
+from math import ceil
+from typing import Any, Protocol
+
+from envoy.service.ext_proc.v3.external_processor_pb2 import ProcessingRequest, ProcessingResponse
+from google.protobuf.message import DecodeError
+
+from wheatroute.grpc.messages import CallError, Status
+from wheatroute.grpc.session import Call
+from wheatroute.interface import Outcome, Report
+from wheatroute.net.exchange import BOUNCED, Answer, Exchange, Relay
+from wheatroute.processor.accounts import Earlier, Refusal, RefusedError, Try
+from wheatroute.processor.mapping import Ask, UnfitError, load, outcome
+
+PATH = b"/envoy.service.ext_proc.v3.ExternalProcessor/Process"
+ROUTED = 0  # the status of an exchange whose final answer to the proxy names a server
+FLAGS = "response.flags"  # attributes that a proxy may send along
+REFUSALS = {Refusal.CONFLICT: (409, "conflict"), Refusal.MAY_HAVE_RUN: (502, "may-have-run"),
+            Refusal.NO_ROOM: (503, "no-room")}
+
+
+class Asked(Exchange):
+    """A command of a proxy: its final answer is the decision, or that there is none."""
+
+    __slots__ = ("stream", "earlier", "account")
+
+    def __init__(self, stream: Stream, ask: Ask, earlier: tuple[Earlier, ...], account: Try) -> None:
+        super().__init__(b"", b"", ask.name, b"", b"")
+        self.kind, self.left, self.customer = ask.kind, ask.left, ask.customer
+        self.repeated = ask.repeated or ask.attempt > 1
+        self.stream, self.earlier, self.account = stream, earlier, account
+
+
+class Desk(Protocol):
+    """What a stream needs of the service."""
+
+    def arrived(self, stream: Stream, headers: Any) -> Asked: ...
+
+    def left(self, exchange: Asked) -> None: ...
+
+    def ended(self, exchange: Asked, outcome: Outcome, report: Report | None) -> None: ...
+
+    def answered(self, call: Call) -> None: ...
+
+
+class Place(IntEnum):
+    """How far a stream has come."""
+
+    NEW = 0
+    ASKED = 1
+    DECIDED = 2
+    OVERDUE = 3  # its server's time is over, and the proxy has said nothing yet
+    ENDED = 4  # its server's answer has begun, or the proxy has its answer from here
+
+
+class Stream:
+    """A receiver: one stream stands for one request of the proxy."""
+
+    __slots__ = ("call", "desk", "place", "exchange", "relay", "words")
+
+    def __init__(self, call: Call, desk: Desk, words: Words) -> None:
+        self.call, self.desk, self.words = call, desk, words
+        self.place = Place.NEW
+        self.exchange: Asked | None = None
+        self.relay: Relay | None = None
+
+    # what comes
+
+    def headers(self, headers: dict[bytes, bytes]) -> None: ...
+
+    def message(self, message: bytes) -> None:
+        try:
+            request = ProcessingRequest.FromString(message)
+        except DecodeError:
+            self._refuse(Status.INVALID_ARGUMENT, "no ProcessingRequest")
+            return
+        which = request.WhichOneof("request")
+        if request.observability_mode:
+            self._refuse(Status.FAILED_PRECONDITION, "in observability mode no decision could be heeded")
+        elif which == "request_headers":
+            self._request(request)
+        elif which is None or self.place == Place.NEW:
+            self._refuse(Status.INVALID_ARGUMENT, f"{which or 'nothing'} before the request's headers")
+        elif which == "response_headers":
+            self._response(request)
+        elif self.place != Place.ASKED:
+            self.call.send(_PASS[which])
+        else:
+            self._refuse(Status.INVALID_ARGUMENT, f"{which} before the decision")
+
+    def half_closed(self) -> None:
+        self._end()
+        self.call.finish()
+
+    def over(self, how: CallError) -> None:
+        self._end()
+
+    # what that means
+
+    def _request(self, request: Any) -> None:
+        if self.place != Place.NEW:
+            self._refuse(Status.INVALID_ARGUMENT, "the request's headers twice")
+            return
+        self.place = Place.ASKED
+        try:
+            self.exchange = self.desk.arrived(self, request.request_headers.headers.headers)
+        except UnfitError as trouble:
+            self._immediate(trouble.status, trouble.reason, 0.0)
+        except RefusedError as refused:
+            status, reason = REFUSALS[refused.refusal]
+            self._immediate(status, reason, 0.0)
+
+    def _response(self, request: Any) -> None:
+        if self.place not in (Place.DECIDED, Place.OVERDUE):
+            self._refuse(Status.INVALID_ARGUMENT, "the response's headers out of turn")
+            return
+        headers = {one.key: one.raw_value or one.value.encode() for one in
+                   request.response_headers.headers.headers}
+        if headers.get(":status", b"").startswith(b"1"):
+            self.call.send(_PASS["response_headers"])
+            return
+        self.call.send(_PASS["response_headers"])
+        if self.place == Place.OVERDUE:
+            self.place = Place.ENDED  # its caller may still want it; the module has given it up
+        self._done(outcome(headers, _flags(request)), load(headers))
+
+    def _end(self) -> None:
+        """The proxy says no more: nothing is owed if it was told nothing, else the relay may have run."""
+        if self.exchange is None:
+            return
+        if self.place == Place.ASKED:
+            self.place = Place.ENDED
+            self.desk.left(self.exchange)
+        else:
+            self._done(Outcome.WITHDRAWN, None)
+
+    def _done(self, outcome: Outcome, report: Report | None) -> None:
+        if self.place == Place.DECIDED and self.exchange is not None:
+            self.place = Place.ENDED
+            self.desk.ended(self.exchange, outcome, report)
+
+    def _refuse(self, status: Status, reason: str) -> None:
+        self._end()
+        self.place = Place.ENDED
+        self.call.finish(status, reason)
+
+    # answers
+
+    def decided(self, relay: Relay, place: bytes, left: float) -> bool:
+        """Names the server; False if nobody waits for it any more."""
+        if self.call.dead or self.place != Place.ASKED:
+            return False
+        self.relay, self.place = relay, Place.DECIDED
+        self.call.send(self.words.decision(place, left))
+        self.desk.answered(self.call)
+        return True
+
+    def settled(self) -> None:
+        """The exchange has its answer; a decision is written already."""
+        answer = self.exchange.answer if self.exchange else None
+        if answer is not None and answer.status != ROUTED and self.place == Place.ASKED:
+            reason = "bounced" if answer.status == BOUNCED else "terminated"
+            self._immediate(answer.status, reason, answer.stay_away)
+
+    def _immediate(self, status: int, reason: str, stay_away: float) -> None:
+        self.place = Place.ENDED
+        self.call.send(self.words.immediate(status, reason, stay_away))
+        self.call.finish()
+        self.desk.answered(self.call)
+
+    def give_up(self) -> None:
+        """The server's time is over and the proxy says nothing: the relay has run out of time."""
+        if self.place == Place.DECIDED:
+            self._done(Outcome.TIMED_OUT, None)
+            self.place = Place.OVERDUE
+
+
+class Words:
+    """The answers that name a server, or that there is none, in the terms of the file."""
+
+    def __init__(self, header: str, namespace: str, time_header: str) -> None:
+        self._header, self._namespace, self._time_header = header, namespace, time_header
+        self._known: dict[bytes, bytes] = {}
+
+    def decision(self, place: bytes, left: float) -> bytes:
+        known = self._known.get(place)
+        if known is None:
+            if len(self._known) > 65536:
+                self._known.clear()  # servers come and go for years
+            known = self._known[place] = self._decision(place)
+        if not self._time_header:
+            return known
+        answer = ProcessingResponse.FromString(known)
+        self._set(answer, self._time_header, b"%d" % max(1, int(left * 1000)))
+        return answer.SerializeToString()
+
+    def _decision(self, place: bytes) -> bytes:
+        answer = ProcessingResponse()
+        if self._header:
+            self._set(answer, self._header, place)
+        else:
+            answer.request_headers.SetInParent()
+        if self._namespace:
+            fields = answer.dynamic_metadata.fields[self._namespace].struct_value.fields
+            fields[self._header or "destination"].string_value = place.decode("ascii")
+        return answer.SerializeToString()
+
+    @staticmethod
+    def _set(answer: Any, name: str, value: bytes) -> None:
+        one = answer.request_headers.response.header_mutation.set_headers.add()
+        one.header.key, one.header.raw_value = name, value
+        one.append_action = 2  # OVERWRITE_IF_EXISTS_OR_ADD: a caller's own header must not win
+
+    @staticmethod
+    def immediate(status: int, reason: str, stay_away: float) -> bytes:
+        answer = ProcessingResponse()
+        answer.immediate_response.status.code = status
+        answer.immediate_response.details = f"wheatroute-{reason.replace(' ', '-')}"
+        answer.immediate_response.body = reason.encode() + b"\n"
+        if stay_away > 0.0:
+            one = answer.immediate_response.headers.set_headers.add()
+            # whole seconds, as callers beyond the proxy read it by the standard
+            one.header.key, one.header.raw_value = "retry-after", b"%d" % ceil(stay_away)
+        return answer.SerializeToString()
+
+
+def _flags(request: Any) -> int:
+    for told in request.attributes.values():
+        if FLAGS in told.fields:
+            return int(told.fields[FLAGS].number_value)
+    return 0
+
+
+def _pass(which: str) -> bytes:
+    answer = ProcessingResponse()
+    getattr(answer, which).SetInParent()
+    return answer.SerializeToString()
+
+
+_PASS = {which: _pass(which) for which in ("response_headers", "request_body", "response_body",
+                                           "request_trailers", "response_trailers")}
+Opened = Callable[[Call], Stream]
+__all__ = ["PATH", "ROUTED", "Answer", "Asked", "Desk", "Opened", "Stream", "Words"]
