Stuck types need answers to others again; beats in parts for the processor; pauses cut

The early end of the search for stuck relays had lost one half of its condition: that the server has answered since the relay counted as stuck. A server that answers nobody passed for one on which a type hangs.

Change: the condition is whole again, with a story. For the processor every beat is played in parts, in rounds that nobody waits for where there are such. Calls and receivers let go of each other, so that the collector's pauses (4 to 9 ms) are gone. The stand-in proxy writes its frames by hand and keeps exact moments.

--- a/Makefile
+++ b/Makefile
@@ -20,8 +20,9 @@
 run: build ## one node, with the settings of examples/node.json
 	PROXY_CONFIG=examples/node.json .venv/bin/python -m wheatroute
 
-demo: build ## two toy servers with their list, one node before them, ten commands through it
+demo: build ## ten commands through a node before toy servers, then a proxy that asks the external processor
 	.venv/bin/python examples/demo.py
+	.venv/bin/python examples/processor_demo.py
 
 clean: ## remove the environment and what tools leave behind
 	rm -rf .venv build *.egg-info .pytest_cache .ruff_cache
--- a/benchmarks/processor.py
+++ b/benchmarks/processor.py
@@ -105,12 +105,12 @@
     raise RuntimeError("the processor does not listen")
 
 
-def drive(port: int, rate: float, seconds: float, proxies: int, connections: int,
-          vanish: float) -> dict[str, Any]:
+def drive(port: int, rate: float, seconds: float, proxies: int, connections: int, vanish: float,
+          seed: int) -> dict[str, Any]:
     """All proxies together, started at once."""
     running = [subprocess.Popen(
         [sys.executable, "-m", "wheatroute.standin.proxy", f"127.0.0.1:{port}", "--rate", str(rate / proxies),
-         "--seconds", str(seconds), "--connections", str(connections), "--seed", str(100 + n), "--vanish",
+         "--seconds", str(seconds), "--connections", str(connections), "--seed", str(seed + n), "--vanish",
          str(vanish), "--json"], cwd=ROOT, stdout=subprocess.PIPE) for n in range(proxies)]
     count: Counter[str] = Counter()
     delays, twice = histogram(), 0
@@ -129,10 +129,10 @@
             vanish: float) -> dict[str, Any]:
     process, port = start(echo, told.workers, told.servers)
     try:
-        drive(port, rate, 1.0, told.proxies, told.connections, 0.0)  # what starts cold is not the matter here
+        drive(port, rate, 1.0, told.proxies, told.connections, 0.0, 100)  # cold starts are not the matter
         pids = children(process.pid)
         before, _ = cost(pids)
-        out = drive(port, rate, seconds, told.proxies, told.connections, vanish)
+        out = drive(port, rate, seconds, told.proxies, told.connections, vanish, 200)
         after, most = cost(pids)
         asked = out["count"].get("requests", 0)
         out |= {"us_cpu_request": round((after - before) / max(1, asked) * 1e6, 1),
@@ -194,7 +194,7 @@
     parse.add_argument("--workers", type=int, default=3)
     parse.add_argument("--proxies", type=int, default=3)
     parse.add_argument("--connections", type=int, default=2, help="of each proxy")
-    parse.add_argument("--servers", type=int, default=12)
+    parse.add_argument("--servers", type=int, default=48)
     parse.add_argument("--vanish", type=float, default=0.01)
     parse.add_argument("--echo", type=int, help=argparse.SUPPRESS)
     told = parse.parse_args()
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -451,3 +451,11 @@
     assert tried(RECEIPTED, (2, host.now - 0.5, True))[0] == [3]  # the other of its group
     assert tried(RECEIPTED, (2, host.now - 2.5, True)) == ([], "terminated")  # its window is over
     assert tried(PURE, *[(server, 99.0, True) for server in range(4)]) == ([], "bounced")  # most relays
+
+
+def test_a_type_is_stuck_only_where_the_server_answers_others_meanwhile():
+    host = Host(answer=only(0)).run(1.0, 100)
+    balancer, servers = host.balancer, host.balancer._servers
+    assert len(servers.out[0]) > 1 and not balancer._stuck(0)  # it answers nobody: that is no type's matter
+    servers.heard[0] = host.now
+    assert len(balancer._stuck(0)) > 1
--- a/wheatroute/config.py
+++ b/wheatroute/config.py
@@ -107,11 +107,41 @@
     answer_slack: Seconds = 0.02
 
 
+class EtcdTls(Table):
+    """TLS towards etcd; without authorities those of the system count."""
+
+    authorities: str = ""
+    certificate: str = ""
+    key: str = ""
+
+
+class Etcd(Table):
+    """Where the keys of a pool's servers are."""
+
+    endpoints: list[str] = Field(min_length=1)
+    prefix: Name
+    user: str = ""
+    password_file: str = ""
+    tls: EtcdTls | None = None
+
+    @field_validator("endpoints")
+    @classmethod
+    def _places(cls, told: list[str]) -> list[str]:
+        return [_address(one) for one in told]
+
+    @model_validator(mode="after")
+    def _whole(self) -> Etcd:
+        if bool(self.user) != bool(self.password_file):
+            raise ValueError("user and password_file belong together")
+        return self
+
+
 class Pool(Table):
     """Servers that stand in for one another."""
 
     name: Name
     list_service: str | None = None
+    etcd: Etcd | None = None
     zones: list[Name] = []
     zone: str = ""
     crossing_price: Seconds = 0.0
@@ -126,8 +156,8 @@
 
     @model_validator(mode="after")
     def _whole(self) -> Pool:
-        if bool(self.servers) == bool(self.list_service):
-            raise ValueError("servers of its own or a list_service, one of the two")
+        if sum(map(bool, (self.servers, self.list_service, self.etcd))) != 1:
+            raise ValueError("servers of its own, a list_service or etcd: one of the three")
         _unlike("servers", [one.id for one in self.servers])
         if self.zone and self.zone not in self.zones:
             raise ValueError(f"zone {self.zone!r} is not among its zones")
@@ -238,7 +268,7 @@
         "terms": _terms(file, pool, front, kinds, worker, zones),
         "zones": zones, "models": models,
         "customers": {one.name: i for i, one in enumerate(file.customers)},
-        "discovery": address(pool.list_service) if pool.list_service else None,
+        "discovery": address(pool.list_service) if pool.list_service else None, "etcd": pool.etcd,
         "known": {"version": 0, "full": True, "servers": [
             {"id": one.id, "addr": one.address, "zone": one.zone, "kind": one.model, "cell": one.cell,
              "state": one.state} for one in pool.servers]} if pool.servers else {},
@@ -273,6 +303,7 @@
         "answer_slack": rules.answer_slack, "cold_time": rules.cold_time, "cold_share": rules.cold_share,
         "drain_grace": rules.drain_grace, "fall_span": rules.fall_span, "fall_multiple": rules.fall_multiple,
         "traffic_types": kinds,
+        "large": 0,  # a proxy waits for every round: beats are always played in parts
         "customers": [{"portion": 0.0, "quota": one.rate} for one in file.customers],
     }
 
--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -332,6 +332,7 @@
         self._rings = [Ring(), Ring()]
         self._on_trial: list[int] = []  # barred servers that this node would keep to
         self._trials_due = -inf  # before this moment none of them may be tried
+        self._large = terms.get("large", LARGE)
         self._kept_to = 0  # servers that this node keeps to, barred ones as well
         self._unsolved = False  # a standing changed and the split of a large tier is still to be solved
         self._parts: deque[Callable[[], None]] = deque()  # of a beat before a large tier, still to be done
@@ -379,7 +380,9 @@
             self._ask_at = inf
             writer.watch(True)
         if self._parts:
-            self._parts.popleft()()
+            # rather where nobody waits for the round
+            if not events or events[0][0] == Event.WOKEN or self._by >= self._next_beat - BEAT / 2:
+                self._parts.popleft()()
         elif self._by >= self._next_beat:
             self._beat()
         self._run_due()
@@ -446,7 +449,7 @@
 
         Guards against rounds as long as the servers barred in them are many times those kept to.
         """
-        if self._kept_to > LARGE:
+        if self._kept_to > self._large:
             self._unsolved = True
         else:
             self._solve()
@@ -534,14 +537,14 @@
         """
         servers, pace, stuck = self._servers, self._pace, []
         # oldest first: the rest went out too late for the shortest mean there is
-        latest = min(servers.heard[server], self._now - STUCK * pace.least)
+        latest, heard = self._now - STUCK * pace.least, servers.heard[server]
         if len(servers.out[server]) < 2 or pace.all_slow:
             return stuck
         for (number, _), sent in servers.out[server].items():
             if sent >= latest:
                 break
             kind = self._commands[number].kind
-            if sent < self._now - STUCK * (pace.mean[kind] or inf):
+            if sent < self._now - STUCK * (pace.mean[kind] or inf) < heard:
                 stuck.append(kind)
         # one alone may be a long command
         return [kind for kind in stuck if stuck.count(kind) > 1]
@@ -1079,7 +1082,7 @@
         if not stalled:
             parts.append(self._watch_silence)
         parts += [lambda: self._refill(step), lambda: self._beat_rings(step), self._solve, self._sort_out]
-        if self._kept_to > LARGE:
+        if self._kept_to > self._large:
             # guards against one round that takes as long as the servers are many: a part goes into each of
             # the next rounds, which come within some ticks
             self._parts.extend(parts)
--- /dev/null
+++ b/wheatroute/etcd/follow.py
@@ -0,0 +1,144 @@
+"""Follows the keys of a pool: all of them once, then every change, whatever breaks on the way.
+
+Owns the order of reading and watching, and how long a silence may last. From when a change could be had to
+when it is handed on there are at most two seconds: a stream that says nothing is asked, one that does not
+answer or lies behind is left for another endpoint. It must never drop a server because etcd is away.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import trio
+
+from wheatroute.etcd import messages as wire
+from wheatroute.etcd.client import Cluster
+from wheatroute.etcd.registry import Registry
+from wheatroute.etcd.watching import BehindError, LostError, Watching
+from wheatroute.grpc.messages import CallError, Status
+from wheatroute.net.rounds import now
+
+ASKED = 0.4  # seconds of silence after which a stream is asked how far it is, and as many for its answer
+CHECKED = 0.5  # seconds between two looks at how far the cluster is
+FIRST_WAIT, LONGEST_WAIT = 0.02, 0.5  # seconds between tries, doubled each time, half of it by chance
+
+
+class Follower:
+    """Keeps a list of servers by the keys of a pool. `take(told)` gets lists and changes, whole revisions."""
+
+    def __init__(self, cluster: Cluster, prefix: bytes, take: Callable[[dict[str, Any]], None],
+                 chance: random.Random, log: Any) -> None:
+        self._cluster, self._take, self._chance, self._log = cluster, take, chance, log
+        self.registry = Registry(prefix)
+        self.watching: Watching | None = None
+        self.lists = self.streams = 0  # how often all keys were read, and streams opened
+        self._wait = FIRST_WAIT
+
+    @property
+    def revision(self) -> int:
+        """Up to which revision all changes are applied; 0 before the first list."""
+        return self.watching.next - 1 if self.watching else 0
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cluster.run)
+            while True:
+                try:
+                    if self.watching is None:
+                        await self._list()
+                    else:
+                        await self._watch(self.watching)
+                except LostError as lost:
+                    self._log.warning("watch-lost", trouble=str(lost))
+                    self.watching = None
+                except (BehindError, CallError) as trouble:
+                    self._log.warning("etcd", trouble=str(trouble), endpoint="{}:{}".format(
+                        *self._cluster.endpoint), revision=self.revision)
+                    self._cluster.move_on()
+                    await self._pause()
+
+    async def _pause(self) -> None:
+        """Ever longer, and never in step with other nodes that lost the same endpoint."""
+        await trio.sleep(self._wait * (0.5 + 0.5 * self._chance.random()))
+        self._wait = min(LONGEST_WAIT, 2.0 * self._wait)
+
+    async def _list(self) -> None:
+        header, kvs = await self._cluster.all(self.registry.prefix)
+        self.lists += 1
+        self._hand_on(*self.registry.whole(kvs, now()))
+        self.watching = Watching(header.cluster_id, header.revision)
+
+    async def _watch(self, watching: Watching) -> None:
+        """One stream, until it fails."""
+        self.streams += 1
+        async with self._cluster.stream(wire.WATCH) as talk:
+            await talk.send(watching.request(self.registry.prefix).SerializeToString())
+            checking = trio.CancelScope()
+            async with trio.open_nursery() as nursery:
+                check = _Check(self._cluster, watching)
+                nursery.start_soon(check.run, checking)
+                try:
+                    await self._read(talk, watching, check)
+                except (LostError, BehindError, CallError) as trouble:
+                    failure: Exception = trouble
+                nursery.cancel_scope.cancel()
+            raise failure
+
+    async def _read(self, talk: Any, watching: Watching, check: _Check) -> None:
+        asked = False
+        while True:
+            with trio.move_on_after(ASKED) as limit:
+                message = await talk.receive()
+            if limit.cancelled_caught:
+                if asked:
+                    raise CallError(Status.UNAVAILABLE, "the stream is silent")
+                asked = True
+                progress = wire.WatchRequest(progress_request=wire.WatchProgressRequest())
+                await talk.send(progress.SerializeToString())
+                continue
+            if message is None:
+                raise CallError(Status.UNAVAILABLE, "the stream was closed")
+            asked = False
+            told = wire.WatchResponse.FromString(message)
+            for batch in watching.take(told):
+                self._hand_on(*self.registry.changes(batch.events, now()))
+            if told.created:
+                self._wait = FIRST_WAIT
+            check.look()
+
+    def _hand_on(self, told: dict[str, Any], troubles: list[str]) -> None:
+        for trouble in troubles:
+            self._log.warning("entry-skipped", trouble=trouble[:200])
+        if told["servers"] or told["full"]:
+            self._take(told)
+
+
+class _Check:
+    """Compares how far a stream is with how far the cluster is.
+
+    Guards against a member that lies behind, cut off from the others: it answers, and tells nothing new.
+    """
+
+    def __init__(self, cluster: Cluster, watching: Watching) -> None:
+        self._cluster, self._watching = cluster, watching
+        self._true = 0  # a revision that the cluster has reached
+        self._since = 0.0
+
+    async def run(self, scope: trio.CancelScope) -> None:
+        with scope:
+            while True:
+                await trio.sleep(CHECKED)
+                try:
+                    # not served by a member that is cut off: it has to ask the others
+                    answer = await self._cluster.range(b"\0", limit=1, count_only=True)
+                except CallError:
+                    continue
+                if answer.header.cluster_id == self._watching.cluster and self._true <= self._watching.seen:
+                    self._true, self._since = answer.header.revision, trio.current_time()
+
+    def look(self) -> None:
+        """Raises `BehindError` if the stream is not as far as the cluster was two questions ago."""
+        if self._true > self._watching.seen and trio.current_time() - self._since > 2.0 * ASKED:
+            raise BehindError(f"at revision {self._watching.seen}, the cluster at {self._true}")
--- a/wheatroute/grpc/session.py
+++ b/wheatroute/grpc/session.py
@@ -83,6 +83,9 @@
     def over(self, how: CallError) -> None: ...
 
 
+NOBODY = Nobody()
+
+
 class Call:
     """One stream, of either side."""
 
@@ -91,7 +94,7 @@
 
     def __init__(self, number: int, session: Session, head: dict[bytes, bytes]) -> None:
         self.number, self.session, self.head = number, session, head
-        self.receiver: Receiver = Nobody()
+        self.receiver: Receiver = NOBODY
         self.holds = False  # its receiver says itself what it has read: see `read`
         self.local_end = self.remote_end = self.dead = False
         self.answered = False  # its headers are out
@@ -289,9 +292,9 @@
         if not self.client_side:
             return
         for number in [number for number in self.calls if number > last]:
-            call = self.calls.pop(number)
-            call.never_ran = True
-            self._tell_over(call, CallError(Status.UNAVAILABLE, "the server went away before it took this"))
+            self.calls[number].never_ran = True
+            self._drop(self.calls[number],
+                       CallError(Status.UNAVAILABLE, "the server went away before it took this"))
 
     # events
 
@@ -338,12 +341,12 @@
                 if call.dead:
                     return
         except CallError as trouble:
+            receiver, call.receiver = call.receiver, NOBODY
             if self.client_side:
                 self.reset(call, h2.errors.ErrorCodes.CANCEL)
-                self._tell_over(call, trouble)
             else:
                 call.finish(trouble.status, trouble.text)
-                self._tell_over(call, trouble)
+            receiver.over(trouble)
 
     def _stream_ended(self, event: Any) -> None:
         call = self.calls.get(event.stream_id)
@@ -351,11 +354,10 @@
             return
         call.remote_end = True
         if self.client_side:
-            self._drop(call)
             how = status_of(call.head)
             if how.status == Status.OK and not call._parts.between:
                 how = CallError(Status.INTERNAL, "the answer ended inside a message")
-            self._tell_over(call, how)
+            self._drop(call, how)
             return
         call.receiver.half_closed()
         self._settle(call)
@@ -366,9 +368,8 @@
         call = self.calls.get(event.stream_id)
         if call is not None:
             call.never_ran = event.error_code == h2.errors.ErrorCodes.REFUSED_STREAM
-            self._drop(call)
             status = Status.UNAVAILABLE if call.never_ran else Status.CANCELLED
-            self._tell_over(call, CallError(status, f"reset by the other side, code {int(event.error_code)}"))
+            self._drop(call, CallError(status, f"reset by the other side, code {int(event.error_code)}"))
 
     def _count_reset(self) -> None:
         """Guards against a peer that opens and resets streams at full speed, which costs it nothing."""
@@ -442,8 +443,7 @@
                     http.end_stream(number)
                 call._trailers = None
         except h2.exceptions.ProtocolError as trouble:
-            self._drop(call)
-            self._tell_over(call, CallError(Status.INTERNAL, str(trouble)))
+            self._drop(call, CallError(Status.INTERNAL, str(trouble)))
             return
         if call.local_end:
             self._settle(call)
@@ -471,7 +471,8 @@
         with suppress(h2.exceptions.ProtocolError, ValueError):
             self.h2.acknowledge_received_data(count, call.number)
 
-    def _drop(self, call: Call) -> None:
+    def _drop(self, call: Call, how: CallError | None = None) -> None:
+        """Lets go of a call; `how` it ended is for its receiver, where it does not know."""
         call.dead = True
         self.calls.pop(call.number, None)
         self._blocked.pop(call.number, None)
@@ -479,15 +480,14 @@
         if call.unread:
             self.acknowledge(call, call.unread)
             call.unread = 0
-
-    def _tell_over(self, call: Call, how: CallError) -> None:
-        call.dead = True
-        call.receiver.over(how)
+        # a call and its receiver name each other: let go of here, they cost no pause of the collector
+        receiver, call.receiver = call.receiver, NOBODY
+        if how is not None:
+            receiver.over(how)
 
     def _end_all(self, how: CallError) -> None:
         for call in list(self.calls.values()):
-            self._drop(call)
-            self._tell_over(call, how)
+            self._drop(call, how)
 
     # the connection
 
--- a/wheatroute/processor/desk.py
+++ b/wheatroute/processor/desk.py
@@ -167,16 +167,21 @@
 
 
 class Listed(Discovery):
-    """The list of servers: from a list service where the file names one, else from the file itself."""
+    """The list of servers: from a list service or from etcd, where the file names one, else from the file."""
 
     def __init__(self, told: dict[str, Any], rounds: Rounds, desk: Desk, log: Any) -> None:
-        self._served = told["discovery"] is not None
+        self._served, self._etcd = told["discovery"] is not None, told["etcd"]
+        self._name = told["name"]
         super().__init__(told | {"discovery": told["discovery"] or ("", 0)}, rounds, desk, log)  # type: ignore
         self.known = True
 
     async def run(self) -> None:
         if self._served:
             await super().run()
+        elif self._etcd is not None:
+            # imported here: who does not follow etcd does not pay for it
+            from wheatroute.etcd.start import follower
+            await follower(self._etcd, self._name, self._take, self._log).run()
         else:
             await trio.sleep_forever()
 
@@ -192,5 +197,5 @@
         """Takes a new file's servers, or its list service."""
         if self._served and told["discovery"]:
             self.move(told["discovery"])
-        elif not self._served and not told["discovery"]:
+        elif told["known"] and not self._served and self._etcd is None:
             self._take(told["known"])
--- a/wheatroute/processor/service.py
+++ b/wheatroute/processor/service.py
@@ -26,6 +26,7 @@
 from wheatroute.processor.streams import PATH
 from wheatroute.tls import Contexts, TlsError
 
+PAUSES = 100_000, 50, 100  # next to nothing here is left to the collector, whose pauses are milliseconds
 HELD = 10.0  # seconds that a worker must have lived for its next end to count as its first
 FIRST_WAIT, LONGEST_WAIT = 0.1, 10.0  # seconds until an ended worker is started anew
 LEAVING = 1.0  # seconds beyond the longest hard stop in which proxies may end their streams
@@ -119,7 +120,7 @@
         return 1
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # before it is heeded it must end nothing
     gc.freeze()  # what is loaded by now stays for good
-    gc.set_threshold(10000, 20, 50)
+    gc.set_threshold(*PAUSES)
     trio.run(_serve, service, listener)
     return 0
 
--- a/wheatroute/processor/streams.py
+++ b/wheatroute/processor/streams.py
@@ -141,6 +141,7 @@
         if self.place == Place.ASKED:
             self.place = Place.ENDED
             self.desk.left(self.exchange)
+            self.exchange = None
         else:
             self._done(Outcome.WITHDRAWN, None)
 
@@ -148,6 +149,7 @@
         if self.place == Place.DECIDED and self.exchange is not None:
             self.place = Place.ENDED
             self.desk.ended(self.exchange, outcome, report)
+            self.exchange = None  # they name each other
 
     def _refuse(self, status: Status, reason: str) -> None:
         self._end()
@@ -171,6 +173,7 @@
         if answer is not None and answer.status != ROUTED and self.place == Place.ASKED:
             reason = "bounced" if answer.status == BOUNCED else "terminated"
             self._immediate(answer.status, reason, answer.stay_away)
+            self.exchange = None
 
     def _immediate(self, status: int, reason: str, stay_away: float) -> None:
         self.place = Place.ENDED
--- a/wheatroute/standin/proxy.py
+++ b/wheatroute/standin/proxy.py
@@ -22,13 +22,16 @@
 from envoy.service.ext_proc.v3.external_processor_pb2 import ProcessingRequest, ProcessingResponse
 from hdrh.histogram import HdrHistogram
 
-from wheatroute.grpc.client import Channel
-from wheatroute.grpc.messages import CallError, Status
-from wheatroute.grpc.session import Bounds, Call
+from wheatroute.grpc.messages import Headers, Status
+from wheatroute.standin.lean import Lean
 
 PATH = b"/envoy.service.ext_proc.v3.ExternalProcessor/Process"
 DESTINATION = "x-gateway-destination-endpoint"
 KINDS = (("view", "GET"), ("amend", "POST"), ("place", "POST"))
+HEAD: Headers = [(b":method", b"POST"), (b":scheme", b"http"), (b":path", PATH),
+                 (b":authority", b"processor"), (b"te", b"trailers"), (b"content-type", b"application/grpc")]
+FINE = 0.0015  # seconds before something is due in which the clock is watched and not slept by
+SETTLE = 0.1  # seconds between two connections
 HIGHEST = 60_000_000  # microseconds that the histogram holds
 
 
@@ -70,23 +73,16 @@
 class Request:
     """One stream: asked, decided, answered by its server, ended."""
 
-    __slots__ = ("proxy", "call", "name", "kind", "attempt", "began", "answers", "place")
+    __slots__ = ("proxy", "line", "number", "name", "kind", "attempt", "began", "answers", "place")
 
     def __init__(self, proxy: Proxy, name: str, kind: int, attempt: int) -> None:
         self.proxy, self.name, self.kind, self.attempt = proxy, name, kind, attempt
-        self.call: Call
         self.answers, self.place = 0, ""
 
-    def ask(self, channel: Channel) -> None:
+    def ask(self, line: Lean) -> None:
         message = request_headers(self.name, self.kind, self.attempt)
-        self.began = time.perf_counter()
-        channel.start(PATH, self)
-        self.call.send(message)
-        self.call.session.flush()
-
-    def headers(self, headers: dict[bytes, bytes]) -> None: ...
-
-    def half_closed(self) -> None: ...
+        self.line, self.began = line, time.perf_counter()
+        self.number = line.open(message, self)
 
     def message(self, message: bytes) -> None:
         if self.answers == 0:
@@ -100,12 +96,12 @@
             self.place = destination(answer)
             self.proxy.decided(self)
         elif which == "response_headers":
-            self.call.half_close()
+            self.line.half_close(self.number)
         if self.answers > 2:
             self.proxy.count["answers_too_many"] += 1
 
-    def over(self, how: CallError) -> None:
-        self.proxy.ended(self, how)
+    def over(self, status: int) -> None:
+        self.proxy.ended(self, status)
 
 
 class Proxy:
@@ -115,7 +111,7 @@
                  vanish: float = 0.0) -> None:
         self._rate, self._seconds, self._vanish = rate, seconds, vanish
         self._chance, self._seed = random.Random(seed), seed
-        self.channels = [Channel(place, Bounds(), chance=random.Random(seed + n)) for n in range(connections)]
+        self.lines = [Lean(place, HEAD) for _ in range(connections)]
         self.delays = histogram()
         self.count: Counter[str] = Counter()
         self._heap: list[tuple[float, int, Any]] = []  # what comes due: requests, and answers of servers
@@ -126,11 +122,10 @@
 
     async def run(self) -> None:
         async with trio.open_nursery() as nursery:
-            for channel in self.channels:
-                nursery.start_soon(channel.run)
-            with trio.fail_after(10):
-                for channel in self.channels:
-                    await channel.session()
+            for line in self.lines:
+                await line.connect()
+                nursery.start_soon(line.run)
+                await trio.sleep(SETTLE)  # so that processes that share a listener share the connections
             await self._loop()
             nursery.cancel_scope.cancel()
 
@@ -149,15 +144,21 @@
             if next_at >= end and not self._open or moment > end + 5.0:
                 return
             due = self._heap[0][0] if self._heap else end + 9.0
-            await trio.sleep_until(min(due, next_at if next_at < end else moment + 0.01))
+            due = min(due, next_at if next_at < end else moment + 0.01)
+            if due - moment > FINE:
+                await trio.sleep_until(due - FINE)
+            else:
+                # guards against requests sent in clumps: the system's timer knows whole milliseconds only
+                await trio.lowlevel.checkpoint()
 
     def _ask(self, name: str, kind: int, attempt: int) -> None:
         one = Request(self, name, kind, attempt)
         self.count["requests"] += 1
-        try:
-            one.ask(self.channels[self._chance.randrange(len(self.channels))])
+        up = [line for line in self.lines if line.up]
+        if up:
             self._open += 1
-        except CallError:
+            one.ask(up[self._chance.randrange(len(up))])
+        else:
             self.count["not_asked"] += 1
 
     def _later(self, moment: float, what: Any) -> None:
@@ -178,25 +179,24 @@
     def _respond(self, one: Request) -> None:
         self._crowd[one.place] -= 1
         load = f"TEXT named_metrics.inflight={self._crowd[one.place]}"
-        one.call.send(response_headers(200, endpoint_load_metrics=load))
-        one.call.session.flush()
+        if one.line.up:
+            one.line.send(one.number, response_headers(200, endpoint_load_metrics=load))
 
     def _vanished(self, one: Request) -> None:
         """The stream ends without the response's headers; the proxy tries once more under the same id."""
         self._crowd[one.place] -= 1
         self.count["vanished"] += 1
-        one.call.cancel()
-        one.call.session.flush()
+        one.line.cancel(one.number)
         self._open -= 1
         if one.attempt == 1:
             self._ask(one.name, one.kind, 2)
 
-    def ended(self, one: Request, how: CallError) -> None:
+    def ended(self, one: Request, status: int) -> None:
         self._open -= 1
         if one.answers == 0:
             self.count["unanswered"] += 1
-        if how.status != Status.OK:
-            self.count[f"ended_{how.status.name.lower()}"] += 1
+        if status != Status.OK:
+            self.count[f"ended_{Status(status).name.lower() if status >= 0 else 'reset'}"] += 1
 
     def report(self) -> dict[str, Any]:
         return {"count": dict(self.count), "delays": self.delays.encode().decode(),
