--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -292,3 +292,8 @@
         trio.run(within)
     run.__name__ = tell.__name__
     return run
+
+
+def only_slow(*slow):
+    """Servers that are all well, those named four times slower."""
+    return lambda server, relay: (Outcome.HANDLED, 0.4 if server in slow else 0.1)
--- a/tests/processor/test_processor.py
+++ b/tests/processor/test_processor.py
@@ -8,13 +8,16 @@
 import trio
 from envoy.service.ext_proc.v3.external_processor_pb2 import ProcessingRequest, ProcessingResponse
 
-from wheatroute import config
+from wheatroute import config, snapshot
+from wheatroute.etcd import messages as wire
 from wheatroute.grpc.client import Channel, connected
 from wheatroute.grpc.messages import CallError, Status
 from wheatroute.grpc.server import listen
 from wheatroute.grpc.session import Call, Session
+from wheatroute.net.rounds import now
 from wheatroute.processor.service import Service
 from wheatroute.processor.streams import PATH
+from wheatroute.standin.etcd import Member, Store
 from wheatroute.standin.proxy import destination, request_headers, response_headers
 
 VIEW, AMEND, PLACE = 0, 1, 2
@@ -360,3 +363,64 @@
         path.write_text(FILE.format(servers=servers(2)))
         service.reload()
         assert {await ask(channel, f"b{n}") for n in range(40)} == {"127.0.0.1:7000", "127.0.0.1:7001"}
+
+
+SNAPSHOT = '[snapshot]\npath = "{}"\nevery = 0.02\noldest = {}\n[[pools]]'
+ETCD = '[pools.etcd]\nendpoints = ["{}:{}"]\nprefix = "/servers/"\nnodes_prefix = "/nodes/"'
+
+
+@asynccontextmanager
+async def etcd(count=4):
+    """A stand-in with servers, and what a file needs to follow it."""
+    store = Store()
+    for n in range(count):
+        store.put(wire.PutRequest(key=b"/servers/s%d" % n, value=b'{"addr": "127.0.0.1:%d"}' % (7000 + n)))
+    member = Member(store)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(member.run)
+        await until(lambda: member._server is not None)
+        yield store, member, ETCD.format(*member.place)
+        nursery.cancel_scope.cancel()
+
+
+@story
+async def test_a_drain_written_to_etcd_is_heeded_at_once(tmp_path):
+    async with etcd() as (store, _, table), processor(tmp_path, listed=table) as (service, channel):
+        await until(lambda: len(service.list.entries) == 4)
+        assert len({await ask(channel, f"a{n}") for n in range(60)}) == 4
+        drained = b'{"addr": "127.0.0.1:7001", "state": "terminating"}'
+        store.put(wire.PutRequest(key=b"/servers/s1", value=drained))
+        await until(lambda: service.list.entries["s1"]["state"] == "terminating")
+        assert "127.0.0.1:7001" not in {await ask(channel, f"b{n}") for n in range(60)}
+        await until(lambda: b"/nodes/wheatroute" in store.keys)
+        await service.stop()
+
+
+@story
+async def test_a_start_while_etcd_is_away_serves_from_the_snapshot_and_counts_the_peers(tmp_path):
+    keep = {"[[pools]]": SNAPSHOT.format(tmp_path / "kept", 60.0)}
+    async with etcd() as (store, member, table):
+        store.put(wire.PutRequest(key=b"/nodes/other", value=b'{"epoch": 1}'))
+        async with processor(tmp_path, listed=table, **keep) as (service, channel):
+            await until(lambda: len(service.list.entries) == 4 and len(service.list.peers()) == 2)
+            assert len({await ask(channel, f"a{n}") for n in range(60)}) == 4
+            written = service._keeping.written
+            await until(lambda: service._keeping.written > written + 1)
+        member.stop()
+        async with processor(tmp_path, listed=table, **keep) as (service, channel):
+            assert len({await ask(channel, f"b{n}") for n in range(60)}) == 4
+            assert any(module(service).servers.weight) and not service.list.etcd.follower.lists
+            await until(lambda: module(service)._terms["nodes"] == 2)
+
+
+@story
+async def test_a_snapshot_that_is_no_use_is_not_used(tmp_path):
+    kept = tmp_path / "kept"
+    other = {"source": {}, "servers": [{"id": "s0", "addr": "127.0.0.1:7000"}]}
+    kept.write_bytes(snapshot.sealed(other, now()))
+    keep = {"[[pools]]": SNAPSHOT.format(kept, 60.0)}
+    async with etcd() as (_, member, table):
+        member.stop()
+        async with processor(tmp_path, listed=table, **keep) as (service, channel):
+            assert await ask(channel, "a", time_out=0.1) == 503  # of another pool
+        assert kept.read_bytes().startswith(snapshot.FORMAT)  # and nothing known does not replace it
--- /dev/null
+++ b/tests/test_snapshot.py
@@ -0,0 +1,99 @@
+"""Snapshots on disk and what is brought back from them."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from random import Random
+
+import pytest
+from fakehost import Host, only_slow
+
+from wheatroute import memory, snapshot
+from wheatroute.interface import State
+
+
+def test_each_way_in_which_a_snapshot_is_no_use_is_said():
+    good = snapshot.sealed({"revision": 4, "servers": ["a"] * 50}, 1000.0)
+    assert snapshot.opened(good, 1010.0, 60.0)["revision"] == 4
+    chance = Random(1)
+    for _ in range(300):  # changed in one byte, anywhere
+        at = chance.randrange(len(good))
+        changed = good[:at] + bytes((good[at] ^ (1 << chance.randrange(8)),)) + good[at + 1:]
+        with pytest.raises(snapshot.SnapshotError):
+            snapshot.opened(changed, 1010.0, 60.0)
+    for cut in range(0, len(good), 7):
+        with pytest.raises(snapshot.SnapshotError):
+            snapshot.opened(good[:cut], 1010.0, 60.0)
+    for data, now, reason in ((good, 1070.0, "70 s old"), (good, 900.0, "from the future"),
+                              (b"", 1.0, "no snapshot"), (good + b"x", 1010.0, "changed"),
+                              (good.replace(b"t 1", b"t 2", 1), 1010.0, "version 2")):
+        with pytest.raises(snapshot.SnapshotError, match=reason):
+            snapshot.opened(data, now, 60.0)
+
+
+WRITER = """
+import sys
+from wheatroute import snapshot
+n = int(sys.argv[2])
+while True:
+    n += 1
+    snapshot.write(sys.argv[1], snapshot.sealed({"n": n, "servers": [n] * 20000}, float(n)))
+    print(n, flush=True)
+"""
+
+
+def test_kill_9_while_writing_leaves_the_old_one_or_the_new_one(tmp_path):
+    path, chance, last = str(tmp_path / "snapshot"), Random(5), 0
+    for _ in range(12):  # a hundred in the benchmark
+        child = subprocess.Popen([sys.executable, "-c", WRITER, path, str(last)], stdout=subprocess.PIPE)
+        child.stdout.readline()
+        time.sleep(chance.random() * 0.02)  # anywhere in a write: any moment will do
+        child.send_signal(signal.SIGKILL)
+        written = [int(line) for line in child.stdout.read().split()]
+        child.wait()
+        told = snapshot.read(path, 1e9, 1e9)
+        assert told["servers"] == [told["n"]] * 20000 and told["n"] >= max(written, default=last)
+        last = told["n"]
+
+
+def test_a_full_disk_or_a_folder_that_is_missing_leaves_the_old_one(tmp_path):
+    path = str(tmp_path / "snapshot")
+    snapshot.write(path, snapshot.sealed({"n": 1}, 0.0))
+    os.mkdir(f"{path}.new")  # nothing can be written beside it
+    with pytest.raises(OSError):
+        snapshot.write(path, snapshot.sealed({"n": 2}, 0.0))
+    assert snapshot.read(path, 1.0, 10.0)["n"] == 1
+    with pytest.raises(OSError):
+        snapshot.write(str(tmp_path / "none" / "snapshot"), b"")
+    with pytest.raises(snapshot.SnapshotError, match="cannot be read"):
+        snapshot.read(str(tmp_path / "none"), 1.0, 1.0)
+
+
+def test_what_was_learned_comes_back_with_its_age_and_nothing_that_is_no_figure():
+    names = {f"s{n}": n for n in range(4)}
+    before = Host(answer=only_slow(2)).run(6.0, 40)
+    told = memory.learned(before.balancer, names, before.now)
+    assert told["s2"]["latency"] > 2 * told["s1"]["latency"]
+    after = Host(answer=only_slow(2)).step()
+    told["s1"] |= {"latency": float("nan")}
+    told["s0"] |= {"age": -5.0}
+    told["s9"] = told["s2"]
+    assert memory.recall(after.balancer, told, names, after.now, 3.0) == 2  # s2 and s3
+    after.run(0.9, 200)
+    fresh = Host(answer=only_slow(2)).run(0.9, 200)
+    assert after.sent(2) < 0.8 * fresh.sent(2)
+
+
+def test_a_bar_holds_on_over_a_restart_until_its_trial():
+    names = {f"s{n}": n for n in range(4)}
+    before = Host(answer=lambda server, relay: None if server == 0 else (0, 0.1)).run(4.0, 40)
+    assert before.balancer.servers.barred[0]
+    told = memory.learned(before.balancer, names, before.now)
+    after = Host().step()
+    memory.recall(after.balancer, told, names, after.now, 0.1)
+    assert after.balancer.servers.barred[0] and 0 not in after.balancer._rings[0].servers
+    after.run(8.0, 40)
+    assert not after.balancer.servers.barred[0]  # it is well, as its trial shows
+    after.list([Host.entry(1, State.GONE)])
--- a/wheatroute/config.py
+++ b/wheatroute/config.py
@@ -120,6 +120,7 @@
 
     endpoints: list[str] = Field(min_length=1)
     prefix: Name
+    nodes_prefix: str = ""
     user: str = ""
     password_file: str = ""
     tls: EtcdTls | None = None
@@ -175,6 +176,14 @@
     repeated: str = "client-retry"
 
 
+class Snapshot(Table):
+    """Where a worker keeps what it knows; off without it."""
+
+    path: Name
+    every: Some = 5.0
+    oldest: Some = 3600.0
+
+
 class Processor(Table):
     """The external processor."""
 
@@ -206,6 +215,7 @@
     traffic_types: list[TrafficType] = Field(min_length=1)
     customers: list[Customer] = []
     processor: Processor | None = None
+    snapshot: Snapshot | None = None
 
     @model_validator(mode="after")
     def _whole(self) -> File:
@@ -269,6 +279,9 @@
         "zones": zones, "models": models,
         "customers": {one.name: i for i, one in enumerate(file.customers)},
         "discovery": address(pool.list_service) if pool.list_service else None, "etcd": pool.etcd,
+        "snapshot": _snapshot(file, front, worker),
+        "source": {"pool": pool.name, "list_service": pool.list_service or "",
+                   "etcd": [pool.etcd.prefix, *pool.etcd.endpoints] if pool.etcd else []},
         "known": {"version": 0, "full": True, "servers": [
             {"id": one.id, "addr": one.address, "zone": one.zone, "kind": one.model, "cell": one.cell,
              "state": one.state} for one in pool.servers]} if pool.servers else {},
@@ -280,6 +293,13 @@
     }
 
 
+def _snapshot(file: File, front: Processor, worker: int) -> dict[str, Any] | None:
+    if file.snapshot is None:
+        return None
+    told = file.snapshot.model_dump()
+    return told | {"path": f"{told['path']}.{worker}"} if front.workers > 1 else told
+
+
 def _kind(one: TrafficType) -> dict[str, Any]:
     return {"target_time": one.target_time or one.hard_stop, "stretch": 0.0, "hard_stop": one.hard_stop,
             "utility": one.utility, "late_utility": one.late_utility, "effect": WORDS[one.effect],
--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -16,12 +16,12 @@
 from random import Random
 
 from wheatroute.interface import (
-    Earlier,
     Effect,
     Entry,
     Event,
     Group,
     Outcome,
+    Past,
     Report,
     Round,
     State,
@@ -345,6 +345,7 @@
         self._next_beat = self._next_resolve = -inf
         self._copy_credit = self._repeat_credit = 1.0
         self._usual_left = [0.0] * len(self._kinds)
+        self._caution = 1.0
         # guards against nodes so many that none ever sees a share used: a few commands may be saved up
         self._quota = [one["quota"] / terms["nodes"] for one in terms["customers"]]
         self._allowance = [self._saved(quota) / 2 for quota in self._quota]
@@ -357,6 +358,14 @@
         pure = [kind["utility"] for kind in self._kinds if kind["effect"] == Effect.PURE]
         self._copied_utility = max(pure, default=inf)
 
+    @property
+    def servers(self) -> Servers:
+        """What was learned of them, for keeping (see `memory.py`); after a change of it comes `solve`."""
+        return self._servers
+
+    def solve(self) -> None:
+        self._solve()
+
     def round(self, now: float, events: Round, writer: Writer) -> None:
         """Takes in all that came since the last round and writes what is to be done."""
         self._now, self._writer = now, writer
@@ -376,6 +385,8 @@
                 self._started(*fields)
             elif event == Event.LIST_FAILED:
                 self._list_failed()
+            elif event == Event.PEERS:
+                self._peers(*fields)
         if self._by >= self._ask_at:
             self._ask_at = inf
             writer.watch(True)
@@ -419,6 +430,14 @@
             self._ask_wait = min(longest, max(longest / 8, 2 * self._ask_wait))
             self._ask_at = self._now + self._ask_wait * (0.5 + 0.5 * self._chance.random())
 
+    def _peers(self, nodes: int, node: int, caution: float) -> None:
+        """Another number of nodes: customers' quotas, the part kept to and the pace of trials follow."""
+        self._terms, self._caution = {**self._terms, "nodes": nodes, "node": node}, caution
+        self._quota = [one["quota"] / nodes for one in self._terms["customers"]]
+        saved = map(self._saved, self._quota)
+        self._allowance = [min(pair) for pair in zip(self._allowance, saved, strict=True)]
+        self._solve()
+
     # the split
 
     def _solve(self) -> None:
@@ -605,7 +624,7 @@
     # commands
 
     def _arrived(self, number: int, kind: int, left: float, customer: int, repeated: bool,
-                 earlier: Sequence[Earlier] = ()) -> None:
+                 earlier: Sequence[Past] = ()) -> None:
         terms = self._kinds[kind]
         elapsed = self._elapsed(kind, left, repeated)
         stop = self._now + left - 2 * self._tick
@@ -631,7 +650,7 @@
         if not self._send(command):
             (self._finish if command.may else self._hold)(command)
 
-    def _enter_earlier(self, command: Command, earlier: Sequence[Earlier]) -> None:
+    def _enter_earlier(self, command: Command, earlier: Sequence[Past]) -> None:
         """Rule two where each try of a command comes here by itself: what ran before counts as its own."""
         for server, sent, may in earlier:
             if may and not command.may:
@@ -1082,9 +1101,9 @@
         if not stalled:
             parts.append(self._watch_silence)
         parts += [lambda: self._refill(step), lambda: self._beat_rings(step), self._solve, self._sort_out]
-        if self._kept_to > self._large:
+        if self._kept_to > self._large and self._rings[0].limit < inf:
             # guards against one round that takes as long as the servers are many: a part goes into each of
-            # the next rounds, which come within some ticks
+            # the next rounds, which come within some ticks; not the first time, when there is no room yet
             self._parts.extend(parts)
         else:
             for part in parts:
@@ -1146,6 +1165,6 @@
             warmth = self._warmth(server)
             if warmth < 1.0:
                 like = carried.get(servers.model[server]) or everywhere or [max(servers.carried, default=0.0)]
-                rate = terms["fall_multiple"] / 2 * warmth * sum(like) / len(like)
+                rate = terms["fall_multiple"] / 2 * warmth * sum(like) / len(like) / self._caution
                 most = max(1.0, rate * terms["fall_span"] / 2)
                 servers.credit[server] = min(most, max(-most, servers.credit[server]) + rate * step)
--- a/wheatroute/etcd/follow.py
+++ b/wheatroute/etcd/follow.py
@@ -9,7 +9,7 @@
 
 import random
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import trio
 
@@ -25,13 +25,23 @@
 FIRST_WAIT, LONGEST_WAIT = 0.02, 0.5  # seconds between tries, doubled each time, half of it by chance
 
 
+class Keys(Protocol):
+    """What the keys under a prefix mean: what to hand on, and a line for each bad value. Free of I/O."""
+
+    prefix: bytes
+
+    def whole(self, kvs: list[Any], now: float) -> tuple[dict[str, Any], list[str]]: ...
+
+    def changes(self, events: list[Any], now: float) -> tuple[dict[str, Any], list[str]]: ...
+
+
 class Follower:
     """Keeps a list of servers by the keys of a pool. `take(told)` gets lists and changes, whole revisions."""
 
     def __init__(self, cluster: Cluster, prefix: bytes, take: Callable[[dict[str, Any]], None],
-                 chance: random.Random, log: Any) -> None:
+                 chance: random.Random, log: Any, registry: Keys | None = None) -> None:
         self._cluster, self._take, self._chance, self._log = cluster, take, chance, log
-        self.registry = Registry(prefix)
+        self.registry: Keys = registry or Registry(prefix)
         self.watching: Watching | None = None
         self.lists = self.streams = 0  # how often all keys were read, and streams opened
         self._wait = FIRST_WAIT
@@ -42,22 +52,26 @@
         return self.watching.next - 1 if self.watching else 0
 
     async def run(self) -> None:
+        """Keeps the connections up and follows."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._cluster.run)
-            while True:
-                try:
-                    if self.watching is None:
-                        await self._list()
-                    else:
-                        await self._watch(self.watching)
-                except LostError as lost:
-                    self._log.warning("watch-lost", trouble=str(lost))
-                    self.watching = None
-                except (BehindError, CallError) as trouble:
-                    self._log.warning("etcd", trouble=str(trouble), endpoint="{}:{}".format(
-                        *self._cluster.endpoint), revision=self.revision)
-                    self._cluster.move_on()
-                    await self._pause()
+            nursery.start_soon(self.follow)
+
+    async def follow(self) -> None:
+        while True:
+            try:
+                if self.watching is None:
+                    await self._list()
+                else:
+                    await self._watch(self.watching)
+            except LostError as lost:
+                self._log.warning("watch-lost", trouble=str(lost))
+                self.watching = None
+            except (BehindError, CallError) as trouble:
+                self._log.warning("etcd", trouble=str(trouble), endpoint="{}:{}".format(
+                    *self._cluster.endpoint), revision=self.revision)
+                self._cluster.move_on()
+                await self._pause()
 
     async def _pause(self) -> None:
         """Ever longer, and never in step with other nodes that lost the same endpoint."""
--- a/wheatroute/grpc/server.py
+++ b/wheatroute/grpc/server.py
@@ -60,13 +60,24 @@
                 call.finish()
             if talk.scope.cancelled_caught and not talk.ended:
                 call.finish(Status.DEADLINE_EXCEEDED, "the call's time is over")
-        except CallError as trouble:
-            call.finish(trouble.status, trouble.text)
-        except Exception:
-            self._log.exception("fault")
-            call.finish(Status.INTERNAL, "a mistake in the server")
+        except Exception as trouble:
+            self._failed(call, trouble)
+        except BaseExceptionGroup as group:
+            # the server ends while the method's own tasks do: what is cancelled goes on up, and nothing else
+            cancelled, rest = group.split(trio.Cancelled)
+            if rest is not None:
+                self._failed(call, rest)
+            if cancelled is not None:
+                raise cancelled from None
         call.session.flush()
 
+    def _failed(self, call: Call, trouble: BaseException) -> None:
+        status = _status_in(trouble)
+        if status is None:
+            self._log.error("fault", exc_info=trouble)
+            status = CallError(Status.INTERNAL, "a mistake in the server")
+        call.finish(status.status, status.text)
+
     async def run(self, listeners: list[socket.socket]) -> None:
         """Serves until `stop` and until every call is done."""
         async with trio.open_nursery() as self.nursery:
@@ -182,6 +193,13 @@
         return Nobody()
 
 
+def _status_in(trouble: BaseException) -> CallError | None:
+    """What a method ended its call with, also from a nursery of its own; None for a mistake."""
+    while isinstance(trouble, BaseExceptionGroup) and len(trouble.exceptions) == 1:
+        trouble = trouble.exceptions[0]
+    return trouble if isinstance(trouble, CallError) else None
+
+
 def deadline_of(call: Call) -> float:
     """Seconds that the caller gives a call; infinite where it does not say."""
     text = call.head.get(b"grpc-timeout")
--- a/wheatroute/interface.py
+++ b/wheatroute/interface.py
@@ -12,6 +12,7 @@
     (Event.LIST_FAILED,)                                       a watch or fetch failed or was dropped
     (Event.SOUNDED, server, outcome, took, report)             the answer to a probe
     (Event.WOKEN,)                                             a moment asked for has come
+    (Event.PEERS, nodes, node, caution)                        how many nodes, and which one this is
 
 Commands, servers, traffic types, customers and zones are small dense numbers given out by the host,
 one numbering an instance; `customer` is -1 where there is none, `report` is None or maps a
@@ -37,6 +38,7 @@
     LIST_FAILED = 5
     SOUNDED = 6
     WOKEN = 7
+    PEERS = 8
 
 
 class Outcome(IntEnum):
@@ -79,7 +81,7 @@
 
 Happening = tuple[Any, ...]
 Entry = tuple[int, int, int, int, State, float, float]
-Earlier = tuple[int, float, bool]
+Past = tuple[int, float, bool]
 Terms = Mapping[str, Any]
 Report = Mapping[str, float]
 Round = Sequence[Happening]
--- a/wheatroute/processor/accounts.py
+++ b/wheatroute/processor/accounts.py
@@ -11,9 +11,9 @@
 from enum import IntEnum
 from typing import Any
 
-from wheatroute.interface import Effect, Group
+from wheatroute.interface import Effect, Group, Past
 
-Earlier = tuple[int, float, bool]  # server (-1 unknown), when it was decided, whether it may have run
+Earlier = Past  # server (-1 unknown), when it was decided, whether it may have run
 
 
 class Fate(IntEnum):
--- a/wheatroute/processor/desk.py
+++ b/wheatroute/processor/desk.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from wheatroute.decide import Balancer
 from wheatroute.grpc.session import Call, Session
 from wheatroute.interface import Event, Outcome, Report
 from wheatroute.net.discovery import Discovery
@@ -33,6 +34,10 @@
         self.quiet = False  # a burst is being read: its end plays the round
         self.dirty: set[Session] = set()  # sessions with answers to send
 
+    @property
+    def balancer(self) -> Balancer:
+        return self._balancer
+
     def happened(self, *event: Any) -> None:
         self._events.append(event)
         if not self.quiet:
@@ -171,7 +176,9 @@
 
     def __init__(self, told: dict[str, Any], rounds: Rounds, desk: Desk, log: Any) -> None:
         self._served, self._etcd = told["discovery"] is not None, told["etcd"]
-        self._name = told["name"]
+        self._name, self.entries = told["name"], dict[str, dict[str, Any]]()
+        self.etcd: Any = None
+        self._peers_kept: list[str] = []
         super().__init__(told | {"discovery": told["discovery"] or ("", 0)}, rounds, desk, log)  # type: ignore
         self.known = True
 
@@ -180,11 +187,46 @@
             await super().run()
         elif self._etcd is not None:
             # imported here: who does not follow etcd does not pay for it
-            from wheatroute.etcd.start import follower
-            await follower(self._etcd, self._name, self._take, self._log).run()
+            from wheatroute.etcd.start import Etcd3
+            self.etcd = Etcd3(self._etcd, self._name, self._take, self._tell, self._log)
+            if self.etcd.membership is not None and self._peers_kept:
+                self.etcd.membership.told(self._peers_kept, now())
+            await self.etcd.run()
         else:
             await trio.sleep_forever()
 
+    def _tell(self, nodes: int, node: int, caution: float) -> None:
+        self._rounds.happened(Event.PEERS, nodes, node, caution)
+
+    def _take(self, told: Any) -> None:
+        """Hands it on, and keeps each entry as it was told, for the snapshot."""
+        super()._take(told)
+        if not isinstance(told, dict) or not isinstance(told.get("servers"), list):
+            return
+        if told.get("full"):
+            self.entries.clear()
+        for one in told["servers"]:
+            if isinstance(one, dict) and isinstance(one.get("id"), str):
+                self.entries[one["id"]] = one
+                if one.get("state") == "terminated":
+                    del self.entries[one["id"]]
+
+    @property
+    def numbers(self) -> dict[str, int]:
+        return self._numbers
+
+    def peers(self) -> list[str]:
+        """The nodes that were heard of, for the snapshot."""
+        membership = self.etcd.membership if self.etcd is not None else None
+        return sorted(membership.epochs) if membership is not None else self._peers_kept
+
+    def take_again(self, servers: Any, peers: Any) -> None:
+        """What a snapshot holds: the list until another is heard, and the nodes that count until then."""
+        if isinstance(servers, list):
+            self._take({"full": True, "servers": servers})
+        if isinstance(peers, list):
+            self._peers_kept = [name for name in peers if isinstance(name, str)]
+
     def watch(self, enable: bool) -> None:
         if self._served:
             super().watch(enable)
--- a/wheatroute/processor/service.py
+++ b/wheatroute/processor/service.py
@@ -23,6 +23,7 @@
 from wheatroute.grpc.session import Bounds
 from wheatroute.net.log import open_log
 from wheatroute.processor.desk import Desk, Listed
+from wheatroute.processor.keeping import Keeping
 from wheatroute.processor.streams import PATH
 from wheatroute.tls import Contexts, TlsError
 
@@ -42,6 +43,8 @@
         self._longest = max(kind["hard_stop"] for kind in told["terms"]["traffic_types"])
         self.desk = Desk(told, log)
         self.list = self.desk.rounds.discovery = Listed(told, self.desk.rounds, self.desk, log)
+        kept = told["snapshot"]
+        self._keeping = Keeping(kept, told["source"], self.desk, self.list, log) if kept else None
         tls = front.tls
         self._tls = Contexts(tls.certificate, tls.key, tls.client_authorities) if tls else None
         self.server = Server({PATH: self.desk.opened}, Bounds(streams=front.most_streams), log, self._tls,
@@ -51,11 +54,18 @@
         """Serves until SIGTERM or `stop`, and until what is open is answered."""
         trio.lowlevel.add_instrument(self.desk.rounds.passes)
         async with trio.open_nursery() as nursery:
+            if self._keeping is not None:
+                self._keeping.start()
+                nursery.start_soon(self._keeping.run)
             for task in (self.list.run, self.desk.run, self.desk.rounds.run):
                 nursery.start_soon(task)
             self._log.info("listening", place="{}:{}".format(*listener.getsockname()[:2]))
             task_status.started()
             await self.server.run([listener])
+            if self._keeping is not None:
+                await self._keeping.write()
+            if self.list.etcd is not None:
+                await self.list.etcd.leave()
             self._log.info("stopped", asked=self.desk.asked, decisions=self.desk.decisions)
             nursery.cancel_scope.cancel()
 
