--- a/benchmarks/etcd.py
+++ b/benchmarks/etcd.py
@@ -15,9 +15,11 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import tracemalloc
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -26,14 +28,19 @@
 
 import structlog  # noqa: E402
 import trio  # noqa: E402
+from envoy.service.ext_proc.v3.external_processor_pb2 import ProcessingResponse  # noqa: E402
 
 from wheatroute import snapshot  # noqa: E402
 from wheatroute.decide import Balancer  # noqa: E402
 from wheatroute.etcd import messages as wire  # noqa: E402
+from wheatroute.etcd.client import Cluster  # noqa: E402
+from wheatroute.etcd.follow import Follower  # noqa: E402
 from wheatroute.etcd.membership import Membership  # noqa: E402
 from wheatroute.etcd.registry import Registry  # noqa: E402
+from wheatroute.grpc.client import Channel, connected  # noqa: E402
 from wheatroute.interface import Event, State  # noqa: E402
 from wheatroute.standin.etcd import Member, Store  # noqa: E402
+from wheatroute.standin.proxy import PATH, destination, request_headers  # noqa: E402
 
 SERVERS, DRAINED_WITHIN = 16, 2.0
 PREFIX = b"/servers/"
@@ -201,6 +208,109 @@
         return lambda *_: None
 
 
+async def herd(nodes: int) -> dict[str, Any]:
+    """All followers lose etcd together and it comes back: when each has it again, and what it costs."""
+    store, told, back = Store(), [0] * nodes, [0.0] * nodes
+    member = Member(store)
+    for server in range(SERVERS):
+        put(store, server)
+
+    def take(node: int, what: dict[str, Any]) -> None:
+        told[node] += 1
+        back[node] = time.monotonic()
+    followers = []
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(member.run)
+        for node in range(nodes):
+            chance = random.Random(node)
+            followers.append(Follower(Cluster([member.place], chance), PREFIX, partial(take, node), chance,
+                                      structlog.get_logger()))
+            nursery.start_soon(followers[-1].run)
+        while not all(told):
+            await trio.sleep(0.02)
+        lags = []
+        for n in range(100):  # calm: from a put to what is handed on, at every node
+            before = sum(told)
+            since = put(store, 0, ("terminating", "in_service")[n % 2])
+            while sum(told) < before + nodes:
+                await trio.sleep(0.001)
+            lags += [moment - since for moment in back]
+        member.stop()
+        await trio.sleep(3.0)
+        put(store, 1, "terminating")
+        before, watches = told[:], member.watches
+        nursery.start_soon(member.run)
+        since = time.monotonic()
+        while any(now == then for now, then in zip(told, before, strict=True)):
+            await trio.sleep(0.005)
+        streams = member.watches - watches
+        nursery.cancel_scope.cancel()
+    lags.sort()
+    after = sorted(moment - since for moment in back)
+    return {"put_to_node_p50_ms": round(lags[len(lags) // 2] * 1e3, 2),
+            "put_to_node_p99_ms": round(lags[int(len(lags) * 0.99)] * 1e3, 2),
+            "herd_nodes": nodes, "herd_first_ms": round(after[0] * 1e3),
+            "herd_last_ms": round(after[-1] * 1e3),
+            "herd_spread_ms": round((after[int(nodes * 0.9)] - after[nodes // 10]) * 1e3),
+            "herd_streams_a_node": round(streams / nodes, 2),
+            "herd_lists": sum(one.lists for one in followers) - nodes}
+
+
+def first_decision(text: str, folder: str) -> float:
+    """Seconds from starting a processor with this file to its first decision."""
+    from processor import free_port
+    port, path = free_port(), os.path.join(folder, "start.toml")
+    Path(path).write_text(text.replace("PORT", str(port)))
+    began = time.monotonic()
+    process = subprocess.Popen([sys.executable, "-m", "wheatroute.cli", "processor", path], cwd=ROOT,
+                               stdout=subprocess.DEVNULL)
+
+    async def ask() -> float:
+        async with connected(Channel(("127.0.0.1", port))) as channel:
+            n = 0
+            while True:
+                n += 1
+                async with channel.call(PATH) as talk:
+                    await talk.send(request_headers(f"first{n}", 0, 1, 1.0))
+                    message = await talk.receive()
+                    if message and destination(ProcessingResponse.FromString(message)):
+                        return time.monotonic() - began
+                await trio.sleep(0.01)
+    try:
+        return trio.run(ask)
+    finally:
+        process.send_signal(signal.SIGTERM)
+        process.wait(20)
+
+
+def starts() -> dict[str, float]:
+    """A start from etcd, and one from the snapshot that it left, with etcd away."""
+    from processor import FILE
+    store, stop, places = Store(), threading.Event(), []  # type: ignore[var-annotated]
+    for server in range(SERVERS):
+        put(store, server)
+
+    async def serve() -> None:
+        member = Member(store)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(member.run)
+            places.append(member.place)
+            await trio.to_thread.run_sync(stop.wait)
+            nursery.cancel_scope.cancel()
+    thread = threading.Thread(target=trio.run, args=(serve,))
+    thread.start()
+    while not places:
+        time.sleep(0.01)
+    with tempfile.TemporaryDirectory() as folder:
+        text = FILE.format(servers=TABLE.format('"{}:{}"'.format(*places[0])), port="PORT", workers=1)
+        text += f'\n[snapshot]\npath = "{folder}/kept"\nevery = 0.2\n'
+        from_etcd = first_decision(text, folder)
+        stop.set()
+        thread.join()
+        from_snapshot = first_decision(text, folder)
+    return {"start_from_etcd_s": round(from_etcd, 2), "start_from_snapshot_s": round(from_snapshot, 2)}
+
+
 def change_cost(servers: int) -> tuple[float, float, float]:
     """Seconds for a list of so many, MB for it, and seconds for one change: registry and module together."""
     from decisions import terms
@@ -274,6 +384,8 @@
     told = parse.parse_args()
     structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
     out = trio.run(followed, told.short)
+    out |= trio.run(herd, 20 if told.short else 100)
+    out |= starts()
     small, large = change_cost(100), change_cost(10000)
     print(f"a list of 100: {small[0] * 1e3:.1f} ms, {small[1]:.2f} MB; one change {small[2] * 1e6:.0f} us")
     print(f"a list of 10,000: {large[0] * 1e3:.1f} ms, {large[1]:.2f} MB; one change {large[2] * 1e6:.0f} us")
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,5 +1,7 @@
 """The program's file: what is wrong with it is told in one line each, and nothing of it is taken."""
 
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -61,3 +63,12 @@
     (tmp_path / "bad.toml").write_text("nodes = 0")
     result = CliRunner().invoke(main, ["check", str(tmp_path / "bad.toml")])
     assert result.exit_code == 2 and "nodes" in result.output
+
+
+def test_the_platforms_node_imports_nothing_of_the_other_fronts():
+    line = [sys.executable, "-c", "import sys, wheatroute.__main__; print(*sys.modules)"]
+    told = subprocess.run(line, capture_output=True, text=True, check=True,
+                          cwd=GOOD.parent.parent).stdout.split()
+    others = {"h2", "hpack", "google.protobuf", "pydantic", "click", "envoy",
+              "wheatroute.grpc", "wheatroute.processor", "wheatroute.etcd", "wheatroute.config"}
+    assert "wheatroute.decide" in told and not others & set(told)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -459,3 +459,14 @@
     assert len(servers.out[0]) > 1 and not balancer._stuck(0)  # it answers nobody: that is no type's matter
     servers.heard[0] = host.now
     assert len(balancer._stuck(0)) > 1
+
+
+def test_a_large_tier_is_solved_with_the_beat_and_heeds_a_drain_and_a_bar_at_once():
+    host = Host(servers=100, answer=only(5)).run(3.0, 400)
+    assert host.balancer.servers.barred[5]
+    host.list([Host.entry(3, State.DRAINING), Host.entry(4, State.GONE), Host.entry(200)])
+    since = host.now
+    host.run(1.0, 1000)
+    assert not host.sent(3, since) and not host.sent(4, since) and host.sent(200, since + 0.3)
+    assert host.sent(5, since) <= 1  # its trial
+    assert set(host.final.values()) == {"handled"} or host.count("terminated") == 0
--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -65,7 +65,7 @@
 OUTLIER = 3.0  # a server this multiple slower than the median server is left to trial relays
 FAILING = 0.3  # share of a server's answers that are errors
 RECALL = 0.97  # what is left of a remembered peak after a second without a higher one
-LARGE = 64  # with more servers kept to, a beat's parts go into rounds of their own, one solve a round
+LARGE = 64  # with more servers kept to, a beat's parts go into rounds of their own, and only beats solve
 SORTED = 64  # commands that may be looked at for each one more that is held, or that comes due
 
 
@@ -336,7 +336,6 @@
         self._trials_due = -inf  # before this moment none of them may be tried
         self._large = terms.get("large", LARGE)
         self._kept_to = 0  # servers that this node keeps to, barred ones as well
-        self._unsolved = False  # a standing changed and the split of a large tier is still to be solved
         self._parts: deque[Callable[[], None]] = deque()  # of a beat before a large tier, still to be done
         self._commands: dict[int, Command] = {}
         self._waiting = Waiting()
@@ -396,8 +395,6 @@
             self._beat()
         self._run_due()
         self._drain_waiting()
-        if self._unsolved:
-            self._solve()
         self._arm()
 
     # the list of servers
@@ -423,7 +420,7 @@
                 servers.forget(server, started)
                 # other nodes hear of it too: a random first credit keeps them from all sending at once
                 servers.credit[server] = self._chance.random()
-        self._solve()
+        (self._solve if whole else self._solve_soon)()
 
     def _list_failed(self) -> None:
         """Guards against a list service that fails under load: asked again later and later, never in step."""
@@ -447,7 +444,7 @@
         """Fractions inverse to smoothed latency, clamped around the even share, for each ring."""
         servers, terms = self._servers, self._terms
         priced = terms["crossing_price"] > 0
-        self._on_trial, self._trials_due, self._unsolved = [], -inf, False
+        self._on_trial, self._trials_due = [], -inf
         for i, ring in enumerate(self._rings):
             models = self._alike.of(i)
             barred = len(self._on_trial)
@@ -463,13 +460,11 @@
         self._kept_to = len(self._on_trial) + sum(len(ring.servers) for ring in self._rings)
 
     def _solve_soon(self) -> None:
-        """At once, or before a large tier once at the end of the round: until then draws pass by the barred.
+        """At once, or before a large tier with the next beat: until then draws pass by what may not be drawn.
 
-        Guards against rounds as long as the servers barred in them are many times those kept to.
+        Guards against rounds as long as the servers barred or listed in them are many times those kept to.
         """
-        if self._kept_to > self._large:
-            self._unsolved = True
-        else:
+        if self._kept_to <= self._large:
             self._solve()
 
     def _keep_to(self, models: list[list[int]]) -> tuple[list[int], list[float]]:
@@ -530,7 +525,7 @@
         best, least = -1, inf
         for _ in range(REDRAWS):
             server = ring.servers[min(len(bounds) - 1, bisect(bounds, self._chance.random() * bounds[-1]))]
-            if servers.barred[server] or not self._may_go(command, server):
+            if not self._stands(server) or not self._may_go(command, server):
                 continue
             stuck = command.kind in self._stuck(server)
             if servers.held[server] < far and not stuck and not self._crowded(ring, server):
@@ -539,12 +534,11 @@
             if load < least:
                 best, least = server, load
         if best < 0:
-            fit = [s for s in ring.servers if not servers.barred[s] and self._may_go(command, s)]
+            fit = [s for s in ring.servers if self._stands(s) and self._may_go(command, s)]
             best = min(fit, key=lambda s: (servers.held[s] + 1) / ring.share[s], default=-1)
         if best < 0 and command.servers:
             # a repeat's group, or another way after a full server, may lie outside the part kept to
-            fit = [s for s, ready in enumerate(servers.ready)
-                   if ready and not servers.barred[s] and self._may_go(command, s)]
+            fit = [s for s in range(len(servers.ready)) if self._stands(s) and self._may_go(command, s)]
             best = self._chance.choice(fit) if fit else -1
         return best
 
@@ -583,6 +577,9 @@
         held = report.get("held", report.get("rate", 0.0) * took)
         self._servers.told[server], self._servers.told_at[server] = held, self._now
 
+    def _stands(self, server: int) -> bool:
+        return self._servers.ready[server] and not self._servers.barred[server]
+
     def _may_go(self, command: Command, server: int) -> bool:
         """Rule two's group and window, rule four's credit, and no server twice for a command."""
         if server in command.servers or self._servers.full[server] > self._now:
@@ -1048,7 +1045,7 @@
             return -1
         for server in self._on_trial:
             if servers.barred[server] <= self._now and not servers.trial[server]:
-                if self._may_go(command, server):
+                if servers.ready[server] and self._may_go(command, server):
                     servers.trial[server] = True
                     return server
         return -1
