A bounced id may be asked for again; an unknown first try counts for the window

Cause, seen on reading the change once more: a try that the module bounced stayed undecided in the accounts, so that the same id, told that trying again is harmless, met 409 from then on; and a receipted command whose first try is not known (a restart) was remembered from its second on, so that a third had the window of the second.

Change: what is given up before a decision never ran and counts for nothing; the unknown first try is entered with the earliest moment that it can have had. Words that nobody used are gone, a check that could not fail too.

--- a/wheatroute/processor/accounts.py
+++ b/wheatroute/processor/accounts.py
@@ -71,12 +71,11 @@
         self._let_go(now)
         known = self._tries.get(name)
         if known is None:
-            earlier = self._unknown_past(kind, now, left) if attempt > 1 else ()
+            first = self._unknown_past(kind, now, left) if attempt > 1 else []
             if len(self._tries) >= self._most:
                 raise RefusedError(Refusal.NO_ROOM)
-            known = self._tries[name] = (kind, [])
-        else:
-            earlier = self._past(known, kind)
+            known = self._tries[name] = (kind, first)
+        earlier = self._past(known, kind)
         one = Try()
         known[1].append(one)
         if name not in self._last:
@@ -87,12 +86,14 @@
     def _past(self, known: tuple[int, list[Try]], kind: int) -> tuple[Earlier, ...]:
         if known[0] != kind or any(one.fate == Fate.UNDECIDED for one in known[1]):
             raise RefusedError(Refusal.CONFLICT)
-        earlier = tuple((one.server, one.decided, one.fate == Fate.MAY_HAVE_RUN) for one in known[1])
+        # a try that was refused before there was a decision went nowhere, and is none of the module's
+        earlier = tuple((one.server, one.decided, one.fate == Fate.MAY_HAVE_RUN) for one in known[1]
+                        if one.server >= 0 or one.fate == Fate.MAY_HAVE_RUN)
         if self._kinds[kind]["effect"] == Effect.EFFECTFUL and any(may for *_, may in earlier):
             raise RefusedError(Refusal.MAY_HAVE_RUN)
         return earlier
 
-    def _unknown_past(self, kind: int, now: float, left: float) -> tuple[Earlier, ...]:
+    def _unknown_past(self, kind: int, now: float, left: float) -> list[Try]:
         """A further try of which this process has no account, as it was restarted: the first may have run.
 
         Where it ran is not known, so only what any server would recognise may go on, and only if the window
@@ -100,11 +101,13 @@
         """
         terms = self._kinds[kind]
         if terms["effect"] == Effect.PURE:
-            return ()
+            return []
         everywhere = terms["effect"] == Effect.RECEIPTED and terms["group"] == Group.ALL
         if not everywhere or terms["repeat_window"] < terms["hard_stop"]:
             raise RefusedError(Refusal.MAY_HAVE_RUN)
-        return ((-1, now - max(0.0, terms["hard_stop"] - left), True),)
+        first = Try()  # remembered too, or the window would count from the second
+        first.decided, first.fate = now - max(0.0, terms["hard_stop"] - left), Fate.MAY_HAVE_RUN
+        return [first]
 
     def decided(self, one: Try, server: int, now: float) -> None:
         """From here on the try may have run, until it is proven that it did not."""
--- a/wheatroute/processor/desk.py
+++ b/wheatroute/processor/desk.py
@@ -82,8 +82,7 @@
         self._places: dict[int, bytes] = {}
         self._busy: dict[int, int] = {}
         self._out: list[tuple[float, int, Stream]] = []  # relays out, by when their time is over
-        self.decisions = self.refusals = 0
-        self.asked = 0
+        self.asked = self.decisions = 0
 
     async def run(self) -> None:
         """Ends relays that proxies never speak of again."""
@@ -122,6 +121,10 @@
         self._accounts.never_ran(exchange.account)
         self.rounds.left(exchange)
 
+    def refused(self, exchange: Asked) -> None:
+        """The module gave it up before there was a decision: the same id may be asked for again."""
+        self._accounts.never_ran(exchange.account)
+
     def ended(self, exchange: Asked, outcome: Outcome, report: Report | None) -> None:
         relay = exchange.stream.relay
         if relay is None:
--- a/wheatroute/processor/streams.py
+++ b/wheatroute/processor/streams.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from enum import IntEnum
 from math import ceil
 from typing import Any, Protocol
@@ -18,7 +17,7 @@
 from wheatroute.grpc.messages import CallError, Status
 from wheatroute.grpc.session import Call
 from wheatroute.interface import Outcome, Report
-from wheatroute.net.exchange import BOUNCED, Answer, Exchange, Relay
+from wheatroute.net.exchange import BOUNCED, Exchange, Relay
 from wheatroute.processor.accounts import Earlier, Refusal, RefusedError, Try
 from wheatroute.processor.mapping import Ask, UnfitError, load, outcome
 
@@ -48,6 +47,8 @@
 
     def left(self, exchange: Asked) -> None: ...
 
+    def refused(self, exchange: Asked) -> None: ...
+
     def ended(self, exchange: Asked, outcome: Outcome, report: Report | None) -> None: ...
 
     def answered(self, call: Call) -> None: ...
@@ -169,8 +170,11 @@
 
     def settled(self) -> None:
         """The exchange has its answer; a decision is written already."""
-        answer = self.exchange.answer if self.exchange else None
-        if answer is not None and answer.status != ROUTED and self.place == Place.ASKED:
+        if self.exchange is None or self.exchange.answer is None:
+            return
+        answer = self.exchange.answer
+        if answer.status != ROUTED and self.place == Place.ASKED:
+            self.desk.refused(self.exchange)
             reason = "bounced" if answer.status == BOUNCED else "terminated"
             self._immediate(answer.status, reason, answer.stay_away)
             self.exchange = None
@@ -252,5 +256,3 @@
 
 _PASS = {which: _pass(which) for which in ("response_headers", "request_body", "response_body",
                                            "request_trailers", "response_trailers")}
-Opened = Callable[[Call], Stream]
-__all__ = ["PATH", "ROUTED", "Answer", "Asked", "Desk", "Opened", "Stream", "Words"]
