--- a/tests/etcd/test_follow.py
+++ b/tests/etcd/test_follow.py
@@ -7,6 +7,7 @@
 import pytest
 import structlog
 import trio
+from asynchronous import story, until
 
 from wheatroute.etcd import messages as wire
 from wheatroute.etcd.client import Cluster
@@ -61,18 +62,6 @@
             nursery.cancel_scope.cancel()
 
 
-def story(tell):
-    def run():
-        trio.run(tell)
-    run.__name__ = tell.__name__
-    return run
-
-
-async def until(what):
-    while not what():
-        await trio.sleep(0.002)
-
-
 async def followed(store, told, name, state="in_service", within=2.0, **changes):
     """Puts a change and waits until it is handed on; it must be within two seconds."""
     began = trio.current_time()
--- a/tests/etcd/test_members.py
+++ b/tests/etcd/test_members.py
@@ -5,6 +5,7 @@
 
 import structlog
 import trio
+from asynchronous import story, until
 
 from wheatroute.etcd import messages as wire
 from wheatroute.etcd.client import Cluster
@@ -83,18 +84,6 @@
             nursery.cancel_scope.cancel()
 
 
-def story(tell):
-    def run():
-        trio.run(tell)
-    run.__name__ = tell.__name__
-    return run
-
-
-async def until(what):
-    while not what():
-        await trio.sleep(0.005)
-
-
 @story
 async def test_nodes_that_start_together_find_each_other():
     async with nodes("a", "b", "c") as (store, _, told, started, scopes, start):
--- a/tests/grpc/test_sessions.py
+++ b/tests/grpc/test_sessions.py
@@ -14,6 +14,7 @@
 import structlog
 import trio
 import trustme
+from asynchronous import story
 
 from wheatroute import tls
 from wheatroute.grpc.client import Channel, connected
@@ -52,13 +53,6 @@
             nursery.cancel_scope.cancel()
 
 
-def story(tell):
-    def run():
-        trio.run(tell)
-    run.__name__ = tell.__name__
-    return run
-
-
 async def fails(status, ask, *what, **how):
     with pytest.raises(CallError) as caught:
         await ask(*what, **how)
--- a/tests/processor/test_processor.py
+++ b/tests/processor/test_processor.py
@@ -6,6 +6,7 @@
 import pytest
 import structlog
 import trio
+from asynchronous import story, until
 from envoy.service.ext_proc.v3.external_processor_pb2 import ProcessingRequest, ProcessingResponse
 
 from wheatroute import config, snapshot
@@ -73,13 +74,6 @@
             nursery.cancel_scope.cancel()
 
 
-def story(tell):
-    def run(tmp_path):
-        trio.run(tell, tmp_path)
-    run.__name__ = tell.__name__
-    return run
-
-
 class Opened:
     """One request of the proxy."""
 
@@ -128,11 +122,6 @@
     return service.desk.rounds._balancer
 
 
-async def until(what):
-    while not what():
-        await trio.sleep(0.001)
-
-
 @story
 async def test_each_request_gets_one_decision_and_all_servers_their_part(tmp_path):
     async with processor(tmp_path) as (service, channel):
