Room told by servers goes by the tiers below; a foretold wait by what the room lets through

And a story: twelve commands on an idle node, three at a time and a tenth of a second each, five turned away.

`_easy` asked for six held at every tier, though a server of the entry also holds what waits in two tiers and the last only its own: it is the floor times the root of the tiers passed now. `_sort_out` foretold the wait from the commands handled a second of late, which on a quiet node is only what was asked for: the room over the usual latency counts if it is more.

--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -491,7 +491,7 @@
 
 def crowd_of_nodes(held):
     """One node of forty before eight servers, its limit reached by its own little traffic."""
-    host = Host(servers=8, nodes=40, report=lambda server: {"held": held})
+    host = Host(servers=8, nodes=40, reported=["held"], report=lambda server: {"held": held})
     return host.run(3.0, 20).step(0.2)
 
 
@@ -521,10 +521,18 @@
 
 def test_what_waits_goes_out_as_soon_as_a_server_tells_of_room():
     held = [9.0]
-    host = Host(servers=8, nodes=40, report=lambda server: {"held": held[0]})
+    host = Host(servers=8, nodes=40, reported=["held"], report=lambda server: {"held": held[0]})
     host.run(3.0, 20).step(0.2)
     asked = [host.ask() for _ in range(7)]
     host.step()
     held[0] = 1.0
     host.step(0.11)  # the first three are answered; by the node's own limit three more would go
     assert all(host.relays[number] for number in asked)
+
+
+def test_a_cluster_is_not_turned_away_for_the_little_that_was_asked_for_before_it():
+    # three at a time, a tenth of a second each: twelve are done well inside the second that they have
+    host = crowd_of_nodes(held=9.0)
+    asked = [host.ask() for _ in range(12)]
+    host.step(0.8)
+    assert [host.final.get(number) for number in asked] == ["handled"] * 12
--- a/wheatroute/decide.py
+++ b/wheatroute/decide.py
@@ -55,7 +55,6 @@
 GROWTH = 0.2  # the limit's growth a beat while it binds, times how far relays are from staying long
 START = 3.0  # relays a node may have out at first, in shares of a server for each node of the tier
 FLOOR = 4.0  # and at the least, alike
-EASY = 1.5  # of FLOOR: a server that tells of fewer, for all nodes, has room whatever a node's own limit
 BUSY = 1.0  # nor less than this multiple of what the highest rate holds at the shortest stay
 MOST = 2.0  # nor, beyond its start, more than this multiple, and two thirds of it among many nodes
 BEYOND = 0.5  # of the room is open to commands beyond their customer's share
@@ -329,6 +328,7 @@
         self._kinds = terms["traffic_types"]
         self._tick = terms["tick"]
         self._entry = terms["tier"] == 0
+        self._depth = max(1, terms["tiers"] - terms["tier"])  # tiers that a command here passes
         self._servers = Servers()
         self._pace = Pace(len(self._kinds))
         self._idleness = Idleness()
@@ -487,8 +487,7 @@
         ring.slow = [s for s, one in zip(ring.servers, expected, strict=True) if one > OUTLIER * usual]
         # guards against slow servers kept too busy where most of a latency is spent in the tiers below, which
         # are the same for all: each tier is taken to have an equal part of the shortest
-        depth = self._terms["tiers"] - self._terms["tier"]
-        below = (1.0 - 1.0 / depth) * min(expected, default=0.0)
+        below = (1.0 - 1.0 / self._depth) * min(expected, default=0.0)
         wish = [1.0 / (one - below) for one in expected]
         even = 1.0 / max(1, len(wish))
         for _ in range(3):
@@ -574,10 +573,11 @@
     def _easy(self, server: int) -> bool:
         """Whether a server tells that it holds little for all nodes, with what was sent to it since.
 
-        Guards against a node that sees little traffic, and takes what chance brings it for a lack of room.
+        Guards against a node that sees little traffic, and takes what chance brings it for a lack of room. A
+        server also holds what waits for the tiers below, and is the less at work for it.
         """
-        servers = self._servers
-        return servers.told[server] < EASY * FLOOR and self._now - servers.told_at[server] < RESOLVE
+        held, age = self._servers.told[server], self._now - self._servers.told_at[server]
+        return "held" in self._terms["reported"] and held < FLOOR * sqrt(self._depth) and age < RESOLVE
 
     def _fits(self, command: Command, server: int, easy: bool = False) -> bool:
         servers = self._servers
@@ -855,15 +855,16 @@
         self._held_since = 0
         if not self._rate or not self._entry or not self._waiting:
             return
-        mean = self._pace.mean
+        mean, room = self._pace.mean, sum(ring.room for ring in self._rings if ring.servers)
         usual = sum(mean) / len(mean) or 1.0
-        ahead, fit = 0.0, []
+        # guards against the little that was asked for of late taken for all that there is room for
+        rate, ahead, fit = max(self._rate, room / usual / max(1.0, self._pace.latest)), 0.0, []
         for start_by, number, command in self._waiting.by_start[:]:
             if command.over:
                 # guards against a second answer: one that ran out of time while nothing had room stands here
                 self._waiting.remove(start_by, command)
                 continue
-            work = (mean[command.kind] or usual) / usual / self._rate
+            work = (mean[command.kind] or usual) / usual / rate
             heappush(fit, (command.value, -number, work, start_by, command))
             ahead += work
             while fit and self._now + ahead > start_by:
@@ -1109,13 +1110,12 @@
                 part()
 
     def _beat_rings(self, step: float) -> None:
-        pace, terms = self._pace, self._terms
+        pace = self._pace
         # the wait that a server's own crowd adds is thinned out by the calls it makes to the tiers below
-        depth = max(1, terms["tiers"] - terms["tier"])
         near, far = self._rings
         for ring in self._rings:
             # calls go far off early, what they cost there is small; they are kept waiting or bounced late
-            longer = (SPILL if ring is near and far.servers else CROWDED) / depth
+            longer = (SPILL if ring is near and far.servers else CROWDED) / self._depth
             # at half where others can help out: a building may have more nodes than its even part
             begin = 0.5 if ring is near and far.servers else 1.0
             ring.beat(step, ring.fair, begin, pace.spread, longer, self._chance)
