--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -358,7 +358,7 @@
     return exchange
 
 
-TERMS = {"most_relays": 2, "answer_slack": 0.02, "nodes": 1, "tick": 0.005, "tier": 0, "customers": [],
+TERMS = {"most_relays": 2, "answer_slack": 0.02, "nodes": 1, "tick": 0.005, "tier": 0, "tiers": 1, "customers": [],
          "list_on_request": False, "traffic_types": [{"utility": 1.0, "effect": 0}]}
 
 
