--- a/tests/fleet/test_many_small_nodes.py
+++ b/tests/fleet/test_many_small_nodes.py
@@ -19,7 +19,7 @@
 
 
 def test_nodes_that_see_little_do_not_say_no_while_servers_have_room():
-    # 0.92 and 0.89 before stays were judged by how much stands behind them, 0.98 without any limit
+    # 0.945 before servers' reports told of room
     figures, noes = day(1)
     assert figures["utility"] > 0.96
     foretold = [no for no in noes if no.cause == "foretold wait"]
