Quotas: what the limit's bucket has no room for fills the one beyond it

Cause: _TenantTokens.fill threw away what _Bucket.put gave back, so a tenant whose burst is smaller than one request was served out of slack and excess alone. The sum keeps its bound: both buckets' sizes and rates are as they were.

--- a/tests/control/test_quotas.py
+++ b/tests/control/test_quotas.py
@@ -61,6 +61,18 @@
     assert given >= 0.8 * 1000 * 10
 
 
+def test_both_buckets_together_keep_to_the_rule_through_bursts_and_quiet_times():
+    it, chance, now, given = buckets(slack=1000.0, excess=0.1), Random(8), 0.0, []
+    for _ in range(3000):
+        now += 0.005 * chance.random() + 0.9 * (chance.random() < 0.01)
+        given.append((now, it.grant(now, "n", "t", QuotaNeed(chance.choice((3.0, 90.0, 600.0)))).tokens))
+    for first in range(0, len(given), 50):
+        total, begin = 0.0, given[first][0]
+        for at, tokens in given[first:]:
+            total += tokens
+            assert total <= (1000.0 * (at - begin) + 500.0) * 1.1 + 1000.0
+
+
 def test_what_is_given_back_fills_the_limit_first():
     it = buckets(slack=1000.0)
     it.grant(0.0, "a", "t", QuotaNeed(300.0))
--- a/wheatroute/control/quotas.py
+++ b/wheatroute/control/quotas.py
@@ -36,9 +36,6 @@
     def __init__(self, rate: float, size: float, filled: float) -> None:
         self.rate, self.size, self.tokens = rate, size, size * filled
 
-    def fill(self, seconds: float) -> None:
-        self.put(self.rate * seconds)
-
     def put(self, tokens: float) -> float:
         """Puts tokens in; returns those that it has no room for."""
         room = max(0.0, self.size - self.tokens)
@@ -76,12 +73,16 @@
 
     def fill(self, now: float) -> None:
         """Time has passed."""
-        self.limit.fill(now - self.filled_at)
-        self.extra.fill(now - self.filled_at)
+        seconds = now - self.filled_at
         self.filled_at = now
+        self.put(self.limit.rate * seconds)
+        self.extra.put(self.extra.rate * seconds)
+
+    def put(self, tokens: float) -> None:
+        """Tokens of the limit, which fill its bucket first; what that has no room for fills the other one.
 
-    def give_back(self, tokens: float) -> None:
-        """Tokens that a node was granted and doesn't need."""
+        Where the burst is smaller than a request, the tenant's rate is served out of the other bucket.
+        """
         self.extra.put(self.limit.put(tokens))
 
     def take(self, wanted: float) -> bool:
@@ -164,7 +165,7 @@
         if tokens is None:
             return QuotaGrant(need.wanted)
         tokens.fill(now)
-        tokens.give_back(need.returned)
+        tokens.put(need.returned)
         share = tokens.share(node, need.rate, now)
         granted, wait_s = 0.0, 0.0
         if tokens.take(need.wanted):
