Edge: an answer is matched by its id, and no connection carries a rejected request twice

Cause, found by reading attempt.py, pool.py and dispatch.py for every pair of crossing and stage: - an answer without Request-Id counted as the request's own also on a kept connection, where it may be a surplus answer to an earlier one: it is now only on a connection that carried nothing else; - a surplus answer before a request with a body ended in a fault of the node (500): StreamConnection.restart told h11 of the length and sent no body; - a connection remembers the ids that it saw rejected or failed, and never carries them again: a late copy of the rejection would match by its id.

--- a/tests/edge/test_exchanges.py
+++ b/tests/edge/test_exchanges.py
@@ -215,8 +215,8 @@
     async with edge(leaving, staying) as it:
         take = it.node.pool.take
 
-        async def late(server):
-            line = await take(server)
+        async def late(server, request_id):
+            line = await take(server, request_id)
             if server.id == "i-1":
                 it.register(leaving, staying, number=2, states={"i-1": InstanceState.DRAINING})
             return line
--- a/wheatroute/edge/attempt.py
+++ b/wheatroute/edge/attempt.py
@@ -21,6 +21,7 @@
 from wheatroute.net.connection import MalformedError
 
 MISDIRECTED = 421
+SERVER_ERROR = 500  # status from which an answer is a server's failure
 LONGEST_ANSWER = 64 << 20  # bytes of an answer that isn't a stream
 WRITE_CHECK = 0.1  # seconds between two judgements of a write that the server's side holds up
 
@@ -74,7 +75,7 @@
     async def run(self) -> Outcome:
         """Sends the request and waits for the first event or the whole answer."""
         try:
-            self._line = await self._pool.take(self.server)
+            self._line = await self._pool.take(self.server, self.request.id)
         except UnreachableError as error:
             self.detail, self.own_fault = str(error), error.own
             return Outcome.UNREACHED
@@ -130,7 +131,7 @@
                 raise MalformedError(0, "no answer")
             headers: Headers = [(bytes(key), bytes(value)) for key, value in event.headers]
             told = dict(headers)
-            if self.request.id and told.get(b"request-id", self.request.id) != self.request.id:
+            if not self._is_own(told, line):
                 await self._skip_body(line)
                 line.restart(head)
                 continue
@@ -138,6 +139,18 @@
             self._pool.note_keep_alive(self.server, told.get(b"keep-alive", b""))
             return
 
+    def _is_own(self, told: dict[bytes, bytes], line: StreamConnection) -> bool:
+        """Whether an answer is to this request; raises MalformedError where nothing can tell.
+
+        Without an id it is if nothing else was ever asked on its connection.
+        """
+        identity = told.get(b"request-id", b"")
+        if not identity:
+            if line.messages > 1:
+                raise MalformedError(0, "an answer without an id on a kept connection")
+            return True
+        return identity == self.request.id
+
     @staticmethod
     async def _skip_body(line: StreamConnection) -> None:
         while not isinstance(await line.next_event(), h11.EndOfMessage):
@@ -160,6 +173,8 @@
             raise MalformedError(0, "an answer without an end")
         self.body = b"".join(parts)
         outcome = self._judge(told)
+        if outcome != Outcome.ANSWERED or self.status >= SERVER_ERROR:
+            line.answered.add(self.request.id)
         self._pool.keep(self.server, line)
         self._line = None
         return outcome
--- a/wheatroute/edge/connection.py
+++ b/wheatroute/edge/connection.py
@@ -40,9 +40,17 @@
 
 
 class StreamConnection(Connection):
-    """A connection that also writes a message in parts, and reads an answer part by part."""
+    """A connection that also writes a message in parts, and reads an answer part by part.
 
-    __slots__ = ()
+    `answered` are the ids of requests that were answered here and may be sent again: a surplus copy of such
+    an answer could not be told from the answer to the second send, so that one takes another connection.
+    """
+
+    __slots__ = ("answered",)
+
+    def __init__(self, sock: socket.socket, role: type, peer: str) -> None:
+        super().__init__(sock, role, peer)
+        self.answered: set[bytes] = set()
 
     def _queue(self, event: Any) -> None:
         self._unsent += self.http.send(event) or b""
@@ -96,7 +104,9 @@
         """Begins to read another answer to a request that was already written, behind a surplus one."""
         rest = self.http.trailing_data[0]
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=LONGEST_HEAD)
-        self.http.send(request)
+        # how an answer is read depends on the method alone; a length would ask for the body once more
+        headers = [(b"Host", b"-")]
+        self.http.send(h11.Request(method=request.method, target=request.target, headers=headers))
         self.http.send(h11.EndOfMessage())
         if rest:
             self.http.receive_data(rest)
--- a/wheatroute/edge/dispatch.py
+++ b/wheatroute/edge/dispatch.py
@@ -9,7 +9,7 @@
 
 from wheatroute.cluster.configuration import Route
 from wheatroute.cluster.errors import ErrorKind, RequestError
-from wheatroute.edge.attempt import NEVER_RAN, Attempt, Outcome
+from wheatroute.edge.attempt import NEVER_RAN, SERVER_ERROR, Attempt, Outcome
 from wheatroute.edge.instances import Outstanding, Server
 from wheatroute.edge.node import EdgeNode
 from wheatroute.edge.request import ClientRequest
@@ -17,7 +17,6 @@
 PATIENCE = 0.22  # of a route's target that a request may wait for a server before it is refused
 SHORTEST_PATIENCE = 0.02  # seconds
 SILENT = 2.0  # times the p95 after which a server that answers nothing is passed over
-SERVER_ERROR = 500  # status from which an answer is a server's failure
 POLL = 0.02  # seconds between two looks for a server
 MOST_SENDS = 4  # attempts of a request, those included that provably never ran
 SUCCEEDED = frozenset((Outcome.STARTED, Outcome.ANSWERED))
--- a/wheatroute/edge/pool.py
+++ b/wheatroute/edge/pool.py
@@ -15,6 +15,7 @@
 SHORTEST_IDLE = 0.5  # a connection that ends sooner is taken for one that broke
 ROOM_USED = 0.9  # of a service's connections, divided evenly among the nodes
 SMALLEST_ROOM = 2
+MOST_ANSWERED = 200  # ids that a connection remembers; one that would need more is closed
 NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
 
 
@@ -50,14 +51,22 @@
         """Connections to a server, idle ones included."""
         return self._open.get(server.id, 0)
 
-    async def take(self, server: Server) -> StreamConnection:
-        """The connection that was used last, or a new one; raises UnreachableError."""
+    async def take(self, server: Server, request_id: bytes) -> StreamConnection:
+        """The connection that was used last, or a new one; raises UnreachableError.
+
+        One that has answered a request of this id before is passed over.
+        """
         kept = self._idle.get(server.id, [])
-        while kept:
-            since, line = kept.pop()
-            if self._fresh(server.id, since, line):
-                return line
-            self.drop(server, line)
+        answered = [entry for entry in kept if request_id in entry[1].answered]
+        kept[:] = [entry for entry in kept if request_id not in entry[1].answered]
+        try:
+            while kept:
+                since, line = kept.pop()
+                if self._fresh(server.id, since, line):
+                    return line
+                self.drop(server, line)
+        finally:
+            kept[:0] = answered
         return await self._connect(server)
 
     def _fresh(self, identity: str, since: float, line: StreamConnection) -> bool:
@@ -99,6 +108,9 @@
         if server.left or line.http.trailing_data[0] or not line.next_message():
             self.drop(server, line)
             return
+        if len(line.answered) > MOST_ANSWERED:
+            self.drop(server, line)
+            return
         self._idle.setdefault(server.id, []).append((trio.current_time(), line))
         self._services[server.id] = server.instance.service
 
