--- a/tests/control/test_changes.py
+++ b/tests/control/test_changes.py
@@ -2,9 +2,11 @@
 
 import json
 
+import msgspec
 import pytest
 
-from wheatroute.cluster.errors import RequestError
+from wheatroute.cluster.errors import ErrorKind, RequestError
+from wheatroute.control import changes
 from wheatroute.control.changes import (
     Change,
     ConfigurationState,
@@ -147,3 +149,22 @@
 def test_the_state_outlives_its_encoding():
     _, state = play(put(0, whole(3)))
     assert decode_state(encode_state(state)) == state and decode_state(b"") == ConfigurationState()
+
+
+def test_an_order_that_may_have_been_taken_too_long_ago_is_not_refused(monkeypatch):
+    monkeypatch.setattr(changes, "REMEMBERED_CHANGES", 3)
+    state, orders = ConfigurationState(), []
+    for generation in range(1, 7):
+        body = msgspec.json.encode({"generation": generation, "routes": [], "services": []})
+        orders.append(Change(False, str(generation - 1), body))
+        state = apply_change(state, orders[-1])
+    assert state.bases == (3, 4, 5) and state.forgotten == 2
+    assert [apply_change(state, one) for one in orders[3:]] == [None] * 3
+    for one in orders[:3]:
+        with pytest.raises(RequestError) as unclear:
+            apply_change(state, one)
+        assert unclear.value.kind == ErrorKind.ORDER_FORGOTTEN and unclear.value.answer.status == 503
+    other = Change(False, "4", b'{"generation": 9, "routes": [], "services": []}')
+    with pytest.raises(RequestError) as refused:
+        apply_change(state, other)
+    assert refused.value.kind == ErrorKind.VERSION_MISMATCH
--- a/wheatroute/cluster/errors.py
+++ b/wheatroute/cluster/errors.py
@@ -29,6 +29,7 @@
     DEADLINE_UNSENT = "deadline-unsent"
     VERSION_MISMATCH = "version-mismatch"
     INVALID_CONFIGURATION = "invalid-configuration"
+    ORDER_FORGOTTEN = "order-forgotten"
     NOT_PRIMARY = "not-primary"
     NO_QUORUM = "no-quorum"
     STORAGE = "storage"
@@ -61,6 +62,7 @@
     ErrorKind.DEADLINE_UNSENT: ErrorAnswer(503, "Service Unavailable", retry_after=0.1),
     ErrorKind.VERSION_MISMATCH: ErrorAnswer(412, "Precondition Failed"),
     ErrorKind.INVALID_CONFIGURATION: ErrorAnswer(400, "Bad Request"),
+    ErrorKind.ORDER_FORGOTTEN: ErrorAnswer(503, "Service Unavailable", retry_after=1.0),
     ErrorKind.NOT_PRIMARY: ErrorAnswer(503, "Service Unavailable", retry_after=0.1),
     ErrorKind.NO_QUORUM: ErrorAnswer(503, "Service Unavailable", retry_after=0.2),
     ErrorKind.STORAGE: ErrorAnswer(503, "Service Unavailable", retry_after=0.2),
--- a/wheatroute/control/changes.py
+++ b/wheatroute/control/changes.py
@@ -19,11 +19,17 @@
 
 
 class ConfigurationState(msgspec.Struct, frozen=True):
-    """The replicated document: the newest configuration as JSON, and the changes that were taken."""
+    """The replicated document: the newest configuration as JSON, and the changes that were taken.
+
+    `bases` are the versions that those of `taken` were built on; `forgotten` is the newest version on which a
+    change was built that is remembered no more.
+    """
 
     generation: int = 0
     body: bytes = b""
     taken: tuple[bytes, ...] = ()
+    bases: tuple[int, ...] = ()
+    forgotten: int = -1
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -65,7 +71,7 @@
     if not isinstance(told, dict):
         raise RequestError(ErrorKind.INVALID_CONFIGURATION, "not an object")
     if not matches:
-        raise RequestError(ErrorKind.VERSION_MISMATCH, f"the current version is {state.generation}")
+        raise _mismatch(state, change.match)
     whole = _patched(state, told) if change.partial else told
     generation = whole.get("generation")
     if not isinstance(generation, int) or isinstance(generation, bool) or generation <= state.generation:
@@ -73,7 +79,29 @@
     if found := _mistakes(whole):
         raise RequestError(ErrorKind.INVALID_CONFIGURATION, "; ".join(found))
     body = msgspec.json.encode(whole) if change.partial else change.body
-    return ConfigurationState(generation, body, (*state.taken, change.digest)[-REMEMBERED_CHANGES:])
+    return _remembering(state, change, generation, body)
+
+
+def _remembering(
+    state: ConfigurationState, change: Change, generation: int, body: bytes
+) -> ConfigurationState:
+    """The state with one more change, and without the oldest where there are too many."""
+    taken, bases = (*state.taken, change.digest), (*state.bases, state.generation)
+    dropped = bases[:-REMEMBERED_CHANGES]
+    forgotten = max((state.forgotten, *dropped))
+    return ConfigurationState(
+        generation, body, taken[-REMEMBERED_CHANGES:], bases[-REMEMBERED_CHANGES:], forgotten
+    )
+
+
+def _mismatch(state: ConfigurationState, match: str) -> RequestError:
+    """The refusal of a change on another version; no refusal where it may have been taken long ago."""
+    text = _version(match)
+    if text.isdecimal() and int(text) <= state.forgotten:
+        return RequestError(
+            ErrorKind.ORDER_FORGOTTEN, f"whether it was taken on {text} is not known any more"
+        )
+    return RequestError(ErrorKind.VERSION_MISMATCH, f"the current version is {state.generation}")
 
 
 def _mistakes(whole: dict[str, Any]) -> list[str]:
@@ -84,8 +112,12 @@
 
 
 def _matches(state: ConfigurationState, match: str) -> bool:
-    text = match.strip().strip('"')
-    return text == str(state.generation)
+    return _version(match) == str(state.generation)
+
+
+def _version(match: str) -> str:
+    """The version that an `If-Match` names, as it stands there."""
+    return match.strip().strip('"')
 
 
 def _patched(state: ConfigurationState, patch: dict[str, Any]) -> dict[str, Any]:
