Leaving nodes are released together where all leave; leases and departures on their own

Cause: a leader that leaves beside all others stopped before its last heartbeat had told them that nobody is needed, and they waited for their whole time; where the others' disks were in trouble, a leader that leaves was let go at once. Now only seats that all leave release each other, and a leader stops once its heartbeat has said so.

--- a/tests/control/test_worst_days.py
+++ b/tests/control/test_worst_days.py
@@ -8,6 +8,7 @@
 from control import virtual_cluster
 from control.operators import ContradictionError, World
 from control.virtual_cluster import play
+from replication.lease_mutants import with_names
 from replication.simulation import patched
 
 from wheatroute.cluster.errors import ErrorKind, RequestError
@@ -237,6 +238,11 @@
         play_without_clocks(1, a_deposed_leader_still_trusts_its_lease)
 
 
+def test_a_read_that_is_confirmed_by_older_answers_is_found():
+    with with_names("a read confirmed by older answers"), pytest.raises(AssertionError):
+        play_without_clocks(1, a_deposed_leader_still_trusts_its_lease)
+
+
 def test_a_node_that_forgets_orders_is_found(monkeypatch):
     monkeypatch.setattr(virtual_cluster, "ControlService", ForgetfulOrders)
     with pytest.raises(BaseExceptionGroup) as found:
--- a/wheatroute/replication/core.py
+++ b/wheatroute/replication/core.py
@@ -94,6 +94,7 @@
         self._planned_members: frozenset[str] = frozenset()  # of the view that the present attempt is for
         self._proposed_members: frozenset[str] = frozenset()  # of views that may be decided after this one
         self._led_since = now
+        self._released_told: tuple[str, ...] = ()  # by the newest heartbeat
         self._lease_held = now
         self._next_beat = now
         self._next_confirm = now
@@ -140,7 +141,7 @@
         """Whether nothing would be lost or without a majority by the end of this node, which is leaving."""
         if self.leading:
             others = [seat for seat in self.view.seats if seat != self.identity]
-            return not others or self.identity in self._released_nodes()
+            return not others or self.identity in self._released_told
         without_part = self.identity not in self.view.seats and self.identity not in self.view.members
         return without_part or self._released
 
@@ -526,6 +527,7 @@
         if not self.leading:
             self.leading = True
             self._led_since = self._lease_held = self._now
+            self._released_told = ()
             self.committed = None
             self._peers.restart()
         self._peers.expect(self.view, self._now)
@@ -592,8 +594,9 @@
         self._next_confirm = self._now + CONFIRM_INTERVAL
         number = self._peers.next_beat(self._now)
         committed = self.committed.stamp if self.committed is not None else Stamp()
-        leaving = any(peer.leaving for peer in self._peers.all())
-        beat = Beat(self.view, number, committed, self.hosts, self._released_nodes() if leaving else ())
+        leaving = self.leaving or any(peer.leaving for peer in self._peers.all())
+        self._released_told = self._released_nodes() if leaving else ()
+        beat = Beat(self.view, number, committed, self.hosts, self._released_told)
         for peer in self._peers.all():
             self._send(host_of(peer.identity), beat)
         return number
--- a/wheatroute/replication/departure.py
+++ b/wheatroute/replication/departure.py
@@ -2,7 +2,7 @@
 
 A node that leaves keeps its seat and its copy until others have them. It is released once it is no member of
 a view whose members all hold what is acknowledged, and its seat has gone to another node where there is one
-to take it. Where nobody would remain, nobody is held back.
+to take it. Where all seats are leaving, nobody is held back.
 """
 
 from __future__ import annotations
@@ -16,13 +16,13 @@
 
     `settled`: the leader wants no other view, and all members of this one have synced its document.
     """
-    there = [own, *(peer for peer in peers if peer.alive(now))]
-    leaving = [one.identity for one in there if one.leaving]
-    staying = [one for one in there if not one.leaving and one.healthy]
-    if not staying:
+    known = [own, *peers]
+    leaving = [one.identity for one in known if one.leaving]
+    if all(seat in leaving for seat in view.seats):
         return tuple(leaving)
     if not settled:
         return ()
+    staying = [one for one in known if one.fit(now)]
     successors = [one for one in staying if one.identity not in view.seats]
     return tuple(one for one in leaving if _dispensable(one, view, bool(successors)))
 
