Only a first configuration waits for a majority; polls without a configuration wait

An edge node that has one takes nothing older, so the question is for the first one alone. And a primary without a configuration answered polls at once, again and again; they wait now.

--- a/wheatroute/control/service.py
+++ b/wheatroute/control/service.py
@@ -317,8 +317,9 @@
     async def updates(self, request: UpdateRequest) -> Update | NotServing:
         """Waits until there is something new for this edge node, or its time is up.
 
-        A configuration is handed out only once a majority has confirmed that this node leads: an edge node
-        that has just started has no other way to know that it isn't an old one.
+        An edge node's first configuration is handed out only once a majority has confirmed that this node
+        leads: one that has just started has no other way to know that it isn't an old one. One that has a
+        configuration takes nothing older, and hears by the lease alone.
         """
         loop = asyncio.get_running_loop()
         end = loop.time() + min(request.wait_s, LONGEST_POLL)
@@ -333,7 +334,7 @@
             now = loop.time()
             self._edges.heard(now, request.node)
             if now >= end or self._is_news(request):
-                if request.configuration >= self._sequence:
+                if request.configuration >= 0 or not self._state.body:
                     return self._update(request, now)
                 if not await self.replicator.confirm(READ_TIMEOUT):
                     return self.not_serving()
@@ -348,7 +349,7 @@
                 pass
 
     def _is_news(self, request: UpdateRequest) -> bool:
-        if request.configuration < self._sequence:
+        if request.configuration < self._sequence and self._state.body:
             return True
         known, version = request.registry, self._registry.version
         return known.epoch != version.epoch or known.number != version.number
