Edge nodes get the difference between versions, compressed; the replicated document is too

Change: cluster/distribution.py (difference by names, digest of the result, zlib), control/versions.py (32 versions kept, one encoding for all that ask the same), edge tables changed by host, whole asked for where a difference doesn't fit.

--- a/tests/control/operators.py
+++ b/tests/control/operators.py
@@ -8,6 +8,7 @@
 import json
 from dataclasses import dataclass, field
 
+from wheatroute.cluster.distribution import NOTHING, changed, decode_difference
 from wheatroute.cluster.errors import ErrorKind, RequestError
 from wheatroute.cluster.messages import NotServing, RegistryVersion, UpdateRequest
 from wheatroute.control.changes import Change
@@ -173,12 +174,12 @@
             await self._edge_life(name, min(until, self.now + life * (0.5 + self.chance.random())))
 
     async def _edge_life(self, name, until):
-        sequence, epoch, generation, registry = -1, -1, 0, RegistryVersion()
+        version, epoch, registry = NOTHING, -1, RegistryVersion()
         host = self.chance.choice(sorted(self.cluster.nodes))
         while self.now < until:
             known = self.acknowledged_by(self.now)
             node = self.cluster.nodes.get(host)
-            request = UpdateRequest(name, "z", sequence, registry, 0.3)
+            request = UpdateRequest(name, "z", version.sequence, registry, 0.3)
             update = None
             if node is not None:
                 update = await self._poll(node, request)
@@ -187,14 +188,19 @@
                 await asyncio.sleep(0.05)
                 continue
             epoch, registry = update.epoch, update.registry
-            if update.configuration_body is not None:
-                told = json.loads(update.configuration_body)["generation"]
+            if update.configuration_change is not None:
+                told = decode_difference(update.configuration_change)
+                newer = changed(version if told.base >= 0 else NOTHING, told)
                 self.handed_out += 1
-                if sequence < 0 and told < known:
-                    raise ContradictionError(f"{name} starts {told} after {known} was acknowledged")
-                if update.configuration <= sequence or told <= generation:
-                    raise ContradictionError(f"{name} steps back from {generation} to {told}")
-                sequence, generation = update.configuration, told
+                if version is NOTHING and newer.generation < known:
+                    raise ContradictionError(
+                        f"{name} starts {newer.generation} after {known} was acknowledged"
+                    )
+                if newer.sequence <= version.sequence or newer.generation <= version.generation:
+                    raise ContradictionError(
+                        f"{name} steps back from {version.generation} to {newer.generation}"
+                    )
+                version = newer
 
     @staticmethod
     async def _poll(node, request):
--- a/tests/control/test_nodes.py
+++ b/tests/control/test_nodes.py
@@ -13,7 +13,7 @@
 from wheatroute.cluster.errors import RequestError
 from wheatroute.cluster.settings import Settings, Tolerate
 from wheatroute.control import main as control_main
-from wheatroute.control.changes import Change
+from wheatroute.control.changes import Change, decode_state
 from wheatroute.control.registry import Heartbeat
 from wheatroute.control.service import ControlService
 from wheatroute.replication.storage import FILE_NAME, MemoryStorage
@@ -259,13 +259,14 @@
         await service.change(first())
         await nodes.settled(host)  # a change of view would write the document anew behind the damage
         path = nodes.folder / host / FILE_NAME
+        written = service.replicator.core.document.payload
 
         def damage():
             with open(path, "r+b") as file:  # every copy, under the open environment, as pages that rot
                 data = file.read()
-                for found in re.finditer(rb'"generation"', data):
-                    file.seek(found.start())
-                    file.write(b"X")
+                for found in re.finditer(re.escape(written), data):
+                    file.seek(found.start() + len(written) // 2)
+                    file.write(bytes([data[file.tell()] ^ 0xFF]))
 
         # where the disk is written too, so that no page is given to something else meanwhile
         await asyncio.get_running_loop().run_in_executor(service.replicator._executor, damage)
@@ -277,7 +278,7 @@
         await nodes.start(host, bootstrap=False)
         core = nodes.services[host].replicator.core
         assert core.identity == service.replicator.core.identity
-        assert b'"generation"' in core.document.payload
+        assert b'"generation"' in decode_state(core.document.payload).body
 
     story(tell)(tmp_path)
     (found,) = [record for record in caplog.records if record.message == "scrub"]
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -7,6 +7,8 @@
 import pytest
 from litestar.testing import AsyncTestClient
 
+from wheatroute.cluster.configuration import decode_configuration
+from wheatroute.cluster.distribution import NOTHING, changed, decode_difference, snapshot
 from wheatroute.cluster.errors import RequestError
 from wheatroute.cluster.messages import (
     InstanceState,
@@ -35,6 +37,11 @@
 BEAT = {"backend": "s", "addr": "10.0.0.9:80", "zone": "z", "slots": 4, "state": "ready", "seq": 1}
 
 
+def version_of(update):
+    """What a node that has nothing makes of an update."""
+    return changed(NOTHING, decode_difference(update.configuration_change))
+
+
 class Core:
     leading = healthy = True
     view = View(4, "10.0.0.2/0", ("10.0.0.1/0", "10.0.0.2/0"), ("10.0.0.1/0", "10.0.0.2/0", "10.0.0.3/0"))
@@ -123,8 +130,9 @@
         assert (await outside.put("/-/config", content=body, headers={"If-Match": "0"})).status_code == 200
     assert (await outside.get("/-/config")).content == body
     told = await inside.updates()
-    assert told.configuration == 2 and told.configuration_body == body
-    assert (await inside.updates(configuration=2)).configuration_body is None
+    assert told.configuration == 2
+    assert version_of(told) == snapshot(decode_configuration(body), 2)
+    assert (await inside.updates(configuration=2)).configuration_change is None
     bad = await outside.put("/-/config", content=body[:-4], headers={"If-Match": "3"})
     assert bad.status_code == 400 and bad.json()["error"] == "invalid-configuration"
     assert (await outside.patch("/-/config", content=b"{}", headers={"If-Match": "1"})).status_code == 412
@@ -134,7 +142,7 @@
 async def test_what_too_few_disks_took_gets_no_clear_answer(service, outside, inside):
     service.replicator.acknowledges = False
     got = await outside.put("/-/config", content=msgspec.json.encode(FIRST), headers={"If-Match": "0"})
-    assert got.status_code == 503 and (await inside.updates()).configuration_body is None
+    assert got.status_code == 503 and (await inside.updates()).configuration_change is None
 
 
 @played
@@ -315,7 +323,7 @@
     # a primary that starts from both goes by the newer word
     service.replicator.hint = service.replicator.hints[-1]
     service._quotas = service._new_quotas(first=True)
-    service._quotas.configure(service._tenants, asyncio.get_running_loop().time())
+    service._quotas.configure(service._versions.tenants, asyncio.get_running_loop().time())
     service._restore(asyncio.get_running_loop().time())
     assert service._quotas.levels()["t"].limit < 2.0
 
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -12,6 +12,7 @@
 import trio
 
 from wheatroute.cluster.configuration import decode_configuration
+from wheatroute.cluster.distribution import snapshot
 from wheatroute.cluster.messages import Instance, InstanceState, QuotaGrant, RegistryVersion, Update
 from wheatroute.cluster.settings import Bounds, Settings
 from wheatroute.edge.clients import Clients
@@ -187,7 +188,7 @@
         self.configure(configuration)
 
     def configure(self, configuration, sequence=1):
-        self.table = RoutingTable(decode_configuration(json.dumps(configuration)), sequence)
+        self.table = RoutingTable(snapshot(decode_configuration(json.dumps(configuration)), sequence))
 
     async def lease(self, tenant, tokens):
         self.leased.append((tenant, tokens))
--- a/tests/edge/primary.py
+++ b/tests/edge/primary.py
@@ -6,6 +6,8 @@
 import trio
 from edge.harness import read_message
 
+from wheatroute.cluster.configuration import decode_configuration
+from wheatroute.cluster.distribution import NOTHING, difference, encode_difference, snapshot
 from wheatroute.cluster.messages import (
     Instance,
     InstanceState,
@@ -41,7 +43,7 @@
         return Update(
             self.epoch,
             self.sequence,
-            json.dumps(self.configuration).encode() if newer else None,
+            self.whole() if newer else None,
             RegistryVersion(self.epoch, 1),
             instances,
             True,
@@ -50,6 +52,11 @@
             1,
         )
 
+    def whole(self):
+        """The configuration as a difference from nothing."""
+        configuration = decode_configuration(json.dumps(self.configuration))
+        return encode_difference(difference(NOTHING, snapshot(configuration, self.sequence)))
+
     async def serve(self, stream):
         rest = b""
         while asked := await read_message(stream, rest):
--- a/wheatroute/cluster/configuration.py
+++ b/wheatroute/cluster/configuration.py
@@ -5,13 +5,13 @@
 
 from __future__ import annotations
 
-from enum import Enum
+from enum import StrEnum
 from typing import Any
 
 import msgspec
 
 
-class RouteKind(Enum):
+class RouteKind(StrEnum):
     """What may be repeated."""
 
     SAFE = "safe"
@@ -47,12 +47,12 @@
     @property
     def streaming(self) -> bool:
         """Whether answers are series of events."""
-        return self.kind == RouteKind.STREAMING.value
+        return self.kind == RouteKind.STREAMING
 
     @property
     def idempotent(self) -> bool:
         """Whether a request may run more than once: kinds that are not known are taken for unsafe."""
-        return self.kind == RouteKind.SAFE.value or self.streaming and self.resume
+        return self.kind == RouteKind.SAFE or self.streaming and self.resume
 
     @property
     def services(self) -> tuple[tuple[str, float], ...]:
--- a/wheatroute/cluster/messages.py
+++ b/wheatroute/cluster/messages.py
@@ -49,6 +49,7 @@
     configuration: int  # sequence of the document in force, -1 for none
     registry: RegistryVersion
     wait_s: float
+    whole: bool = False  # a difference didn't fit the version at hand
 
 
 class Update(msgspec.Struct, frozen=True):
@@ -56,7 +57,7 @@
 
     epoch: int
     configuration: int
-    configuration_body: bytes | None
+    configuration_change: bytes | None  # see `wheatroute.cluster.distribution`
     registry: RegistryVersion
     instances: tuple[Instance, ...]
     whole: bool  # `instances` lists all that the registry holds
--- a/wheatroute/control/changes.py
+++ b/wheatroute/control/changes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import hashlib
+import zlib
 from typing import Any
 
 import msgspec
@@ -15,6 +16,8 @@
 
 REMEMBERED_CHANGES = 2000  # days of several hundred changes
 DIGEST_BYTES = 16
+COMPRESSION = 1  # of zlib's levels: the fastest
+ZLIB_FIRST_BYTE = 0x78  # no msgpack map of a few fields begins with it
 LISTS = ("routes", "services", "tenants")
 
 
@@ -50,13 +53,16 @@
 
 
 def decode_state(payload: bytes) -> ConfigurationState:
-    """The state that a replicated document holds."""
-    return msgspec.msgpack.decode(payload, type=ConfigurationState) if payload else ConfigurationState()
+    """The state that a replicated document holds; one of an earlier version isn't compressed."""
+    if not payload:
+        return ConfigurationState()
+    plain = zlib.decompress(payload) if payload[0] == ZLIB_FIRST_BYTE else payload
+    return msgspec.msgpack.decode(plain, type=ConfigurationState)
 
 
 def encode_state(state: ConfigurationState) -> bytes:
-    """The document for a state."""
-    return msgspec.msgpack.encode(state)
+    """The document for a state, compressed: each write goes whole to every member's link and disk."""
+    return zlib.compress(msgspec.msgpack.encode(state), COMPRESSION)
 
 
 def apply_change(state: ConfigurationState, change: Change) -> ConfigurationState | None:
--- a/wheatroute/control/service.py
+++ b/wheatroute/control/service.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from wheatroute.cluster.configuration import Tenant, decode_configuration
+from wheatroute.cluster.configuration import Configuration, decode_configuration
+from wheatroute.cluster.distribution import NO_SEQUENCE
 from wheatroute.cluster.errors import ErrorKind, RequestError
 from wheatroute.cluster.messages import (
     Instance,
@@ -24,6 +25,7 @@
 from wheatroute.control.quotas import BucketLevels, QuotaBuckets, answer
 from wheatroute.control.registry import Heartbeat, Registry
 from wheatroute.control.suspicion import Suspicions
+from wheatroute.control.versions import ConfigurationVersions
 from wheatroute.replication.replicator import Replicator
 from wheatroute.replication.soft_state import Order
 from wheatroute.replication.view import Document
@@ -69,7 +71,7 @@
         self.replicator = Replicator(settings, self._committed, self._view_changed, log)
         self._state = ConfigurationState()
         self._sequence = -1
-        self._tenants: list[Tenant] = []
+        self._versions = ConfigurationVersions()
         self._registry = Registry(-1, settings.heartbeat_ms / 1000.0, 0.0)
         self._quotas = self._new_quotas(first=True)
         self._edges = EdgeNodes()
@@ -109,9 +111,9 @@
             return
         self._state = decode_state(document.payload)
         self._sequence = document.stamp.sequence
-        configuration = decode_configuration(self._state.body) if self._state.body else None
-        self._tenants = list(configuration.tenants) if configuration else []
-        self._quotas.configure(self._tenants, asyncio.get_running_loop().time())
+        configuration = decode_configuration(self._state.body) if self._state.body else Configuration()
+        self._versions.commit(configuration, self._sequence)
+        self._quotas.configure(self._versions.tenants, asyncio.get_running_loop().time())
         self._log.info(
             "configuration",
             extra={
@@ -131,7 +133,7 @@
         elif self._registry.version.epoch < 0:
             self._registry = Registry(core.view.epoch, self._settings.heartbeat_ms / 1000.0, now)
             self._quotas = self._new_quotas(first=core.view.epoch <= 1)
-            self._quotas.configure(self._tenants, now)
+            self._quotas.configure(self._versions.tenants, now)
             self._edges = EdgeNodes()
             self._suspicions = self._new_suspicions()
             if self.replicator.hint:
@@ -349,18 +351,17 @@
                 pass
 
     def _is_news(self, request: UpdateRequest) -> bool:
-        if request.configuration < self._sequence and self._state.body:
+        if self._lacks_configuration(request):
             return True
         known, version = request.registry, self._registry.version
         return known.epoch != version.epoch or known.number != version.number
 
     def _update(self, request: UpdateRequest, now: float) -> Update:
         instances, whole = self._registry.changes(request.registry)
-        newer = request.configuration < self._sequence and self._state.body
         return Update(
             epoch=self.replicator.core.view.epoch,
             configuration=self._sequence if self._state.body else -1,
-            configuration_body=self._state.body if newer else None,
+            configuration_change=self._configuration_change(request),
             registry=self._registry.version,
             instances=instances,
             whole=whole,
@@ -369,6 +370,15 @@
             edges=self._edges.count(now),
         )
 
+    def _lacks_configuration(self, request: UpdateRequest) -> bool:
+        return bool(self._state.body) and (request.whole or request.configuration < self._sequence)
+
+    def _configuration_change(self, request: UpdateRequest) -> bytes | None:
+        """The way from the version that an edge node has to the newest one, if it lacks anything."""
+        if not self._lacks_configuration(request):
+            return None
+        return self._versions.since(NO_SEQUENCE if request.whole else request.configuration)
+
     def usage(self, report: UsageReport) -> UsageAnswer | NotServing:
         """Takes an edge node's use in; answers its parts of the tenants' rates."""
         try:
--- a/wheatroute/edge/control_client.py
+++ b/wheatroute/edge/control_client.py
@@ -5,7 +5,7 @@
 import msgspec
 import trio
 
-from wheatroute.cluster.configuration import decode_configuration
+from wheatroute.cluster.distribution import DifferenceError, decode_difference
 from wheatroute.cluster.http_client import httpx
 from wheatroute.cluster.messages import (
     UPDATES_PATH,
@@ -49,6 +49,7 @@
         self._epoch = -1
         self._heard = -1e9
         self._unanswered = -1e9  # when a host was last silent, or took no connection
+        self._whole = False  # whether the whole is asked for: a difference came that can't be used here
         self._named = False  # whether the host that is asked next was named as primary
         self._told: dict[str, object] = {}
         self._suspected = False  # whether the last report named a server that answers nothing
@@ -100,6 +101,7 @@
             node.table.sequence,
             node.instances.version,
             POLL_WAIT if node.configured else 0.3,
+            self._whole,
         )
         timeout = httpx.Timeout(POLL_WAIT + POLL_MARGIN, connect=CONNECT_TIMEOUT)
         body = await self._post(UPDATES_PATH, request, timeout)
@@ -111,11 +113,23 @@
             return False
         self._epoch, self._heard = update.epoch, trio.current_time()
         self._know(update.control_hosts)
-        table = None
-        if update.configuration_body is not None:
-            table = RoutingTable(decode_configuration(update.configuration_body), update.configuration)
+        table = self._changed_table(update)
         node.apply(update, table)
-        return True
+        return not self._whole
+
+    def _changed_table(self, update: Update) -> RoutingTable | None:
+        """The newer table, if one was told; the whole is asked for next where a difference doesn't fit."""
+        if update.configuration_change is None:
+            return None
+        node = self._node
+        try:
+            table = node.table.changed(decode_difference(update.configuration_change))
+        except DifferenceError as error:
+            self._whole = True
+            node.log.warning("difference-not-used", extra={"trouble": str(error)})
+            return None
+        self._whole = False
+        return table
 
     async def _post(self, path: str, message: msgspec.Struct, timeout: httpx.Timeout) -> bytes | None:
         """The primary's answer, or None, after which another host comes next."""
--- a/wheatroute/edge/routing.py
+++ b/wheatroute/edge/routing.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Mapping
+from copy import copy
+
 import msgspec
 
-from wheatroute.cluster.configuration import ClientLimits, Configuration, Route, Service, Tenant
+from wheatroute.cluster.configuration import ClientLimits, Route, Service, Tenant
+from wheatroute.cluster.distribution import NO_SEQUENCE, NOTHING, Difference, Snapshot, changed
 from wheatroute.cluster.errors import ErrorKind, RequestError
 
 KEY_SCHEME = "token "
@@ -15,25 +19,71 @@
 class RoutingTable:
     """One version of the configuration, made for look-ups."""
 
-    def __init__(self, configuration: Configuration, sequence: int) -> None:
-        self.sequence = sequence
-        self.generation = configuration.generation
-        self.limits: ClientLimits = configuration.limits
-        self.services: dict[str, Service] = {service.name: service for service in configuration.services}
-        self.tenants: dict[str, Tenant] = {tenant.name: tenant for tenant in configuration.tenants}
-        self.routes: dict[str, Route] = {route.name: route for route in configuration.routes}
-        self._by_key = {key: tenant for tenant in configuration.tenants for key in tenant.api_keys}
-        self._by_host: dict[str, list[Route]] = {}
-        for route in configuration.routes:
-            self._by_host.setdefault(route.hostname.lower(), []).append(route)
-        for routes in self._by_host.values():
-            routes.sort(key=lambda route: -len(route.path_prefix))
-        self._levels = priority_levels(configuration)
+    def __init__(self, version: Snapshot) -> None:
+        self.version = version
+        self._by_host = _routes_by_host(version.routes.values())
+        self._index()
+
+    def _index(self) -> None:
+        """What is worked out anew for each version: a look at every item, but no sorting."""
+        version = self.version
+        self._by_key = {key: tenant for tenant in version.tenants.values() for key in tenant.api_keys}
+        self._levels = priority_levels(version)
         # the gate of the design's hedge: the most valuable class that is safe to repeat
         self._hedged_priority = min(
-            (route.priority for route in configuration.routes if route.idempotent), default=None
+            (route.priority for route in version.routes.values() if route.idempotent), default=None
         )
 
+    def changed(self, told: Difference) -> RoutingTable:
+        """The table of the version that a difference tells; raises DifferenceError if it isn't for this one.
+
+        Hosts none of whose routes changed keep their part.
+        """
+        if told.base == NO_SEQUENCE:
+            return RoutingTable(changed(NOTHING, told))
+        table = copy(self)
+        table.version = changed(self.version, told)
+        table._by_host = self._changed_hosts(told)
+        table._index()
+        return table
+
+    def _changed_hosts(self, told: Difference) -> dict[str, list[Route]]:
+        old = self.version.routes
+        names = {*told.items.gone_routes, *(route.name for route in told.items.routes)}
+        replaced = [old[name] for name in names if name in old]
+        by_host = dict(self._by_host)
+        new = _routes_by_host(told.items.routes)
+        for host in {route.hostname.lower() for route in replaced} | new.keys():
+            kept = [route for route in by_host.pop(host, ()) if route.name not in names]
+            if routes := [*kept, *new.get(host, ())]:
+                by_host[host] = _longest_prefix_first(routes)
+        return by_host
+
+    @property
+    def sequence(self) -> int:
+        """That of the replicated document."""
+        return self.version.sequence
+
+    @property
+    def generation(self) -> int:
+        """The operator's number."""
+        return self.version.generation
+
+    @property
+    def limits(self) -> ClientLimits:
+        """What clients may send."""
+        return self.version.limits
+
+    @property
+    def services(self) -> Mapping[str, Service]:
+        """By name."""
+        return self.version.services
+
+    @property
+    def tenants(self) -> Mapping[str, Tenant]:
+        """By name."""
+        return self.version.tenants
+
     def route(self, host: str, target: str) -> Route:
         """The route with the longest prefix; raises RequestError if there is none."""
         name = host.strip().lower()
@@ -65,10 +115,10 @@
         return route.idempotent and route.retries > 1 and route.priority == self._hedged_priority
 
 
-def priority_levels(configuration: Configuration) -> dict[int, tuple[int, int]]:
+def priority_levels(version: Snapshot) -> dict[int, tuple[int, int]]:
     """For each priority in use: its first level at servers, and how many levels it has for sizes."""
-    used = {route.priority for route in configuration.routes}
-    used |= {tenant.priority for tenant in configuration.tenants if tenant.priority is not None}
+    used = {route.priority for route in version.routes.values()}
+    used |= {tenant.priority for tenant in version.tenants.values() if tenant.priority is not None}
     steps = max(1, min(len(SIZE_BOUNDS) + 1, SERVER_LEVELS // max(1, len(used))))
     return {
         priority: (min(SERVER_LEVELS - 1, place * steps), steps)
@@ -76,7 +126,18 @@
     }
 
 
-EMPTY_TABLE = RoutingTable(Configuration(), -1)
+def _routes_by_host(routes: Iterable[Route]) -> dict[str, list[Route]]:
+    by_host: dict[str, list[Route]] = {}
+    for route in routes:
+        by_host.setdefault(route.hostname.lower(), []).append(route)
+    return {host: _longest_prefix_first(found) for host, found in by_host.items()}
+
+
+def _longest_prefix_first(routes: list[Route]) -> list[Route]:
+    return sorted(routes, key=lambda route: -len(route.path_prefix))
+
+
+EMPTY_TABLE = RoutingTable(NOTHING)
 
 
 class PromptPart(msgspec.Struct, frozen=True):
