Control nodes: what waits for a machine without power goes out once that machine connects

Ruled out: the vote bound from a start (LeaseEnded frees it, where it arrives), the processor (--no-cpu), the edge nodes (configured 0.04 to 0.09 s after the view). Change: a connection from a peer shows that it is there; the attempt under way to it is made anew with all that waits, once for each of its connections. Test: test_links.py; fails without.

--- a/wheatroute/replication/links.py
+++ b/wheatroute/replication/links.py
@@ -2,6 +2,9 @@
 
 A link is for messages that may be lost: what cannot be sent now is dropped, since every message is sent again
 by its own timer. A connection whose other end went silent is given up by `TCP_USER_TIMEOUT`.
+
+An attempt to connect to a machine without power gets no answer, and the next packet of it goes out after a
+second. Once that machine has connected to this one, it is there: the attempt is made anew at once.
 """
 
 from __future__ import annotations
@@ -14,7 +17,7 @@
 
 import msgspec
 
-from wheatroute.replication.view import Envelope, Message
+from wheatroute.replication.view import Envelope, Message, host_of
 
 CONNECT_TIMEOUT = 0.4  # seconds
 USER_TIMEOUT_MS = 700  # of unacknowledged bytes
@@ -76,6 +79,17 @@
         for frame in frames:
             writer.write(frame)
 
+    def peer_appeared(self) -> None:
+        """The other end has connected here: an attempt that is under way may have begun before it was there.
+
+        What waits is kept. Called once for each of its connections, so a peer that can't be reached from here
+        doesn't have this node begin anew with each message.
+        """
+        self._not_before = 0.0
+        if self._connecting is not None and not self._connecting.done():
+            self._connecting.cancel()
+            self._connecting = asyncio.get_running_loop().create_task(self._connect())
+
     def close(self) -> None:
         """Gives the connection up; the next frame opens another."""
         writer, self._writer = self._writer, None
@@ -111,14 +125,22 @@
             link = self._links[host] = Link(host, self._address[1])
         link.send(len(body).to_bytes(LENGTH_BYTES, "big") + body)
 
+    def _appeared(self, host: str) -> None:
+        if link := self._links.get(host):
+            link.peer_appeared()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         tune(writer.get_extra_info("socket"))
+        known = False
         try:
             while True:
                 length = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
                 if length > LARGEST_FRAME:
                     break
                 envelope = self._decoder.decode(await reader.readexactly(length))
+                if not known:
+                    known = True
+                    self._appeared(host_of(envelope.sender))
                 self._receive(envelope.sender, envelope.message)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
