Rollouts: what is slow is judged by what unchanged nodes serve in the same seconds

The machines then became busier: 1.00 of the new side and 0.67 of the old side counted as slow, the difference could not exceed 0.33, and with a radius of 0.30 to 0.37 the stage was held. Ruled out: too few requests (71 blocks, 57 of look). Change: half of the recent answers of the nodes that serve unchanged, over 24 looks; the slowest hundredth and the last stage, which has nobody beside it, stay as they were. Tests: 8 drawn stages each, slower and not, on machines that become three times as slow; without the change the slower version isn't found.

--- a/tests/rollout/test_judging.py
+++ b/tests/rollout/test_judging.py
@@ -1,6 +1,7 @@
 """The judge, the course and the account: small stories, then many rollouts, good and bad, by seed."""
 
 import random
+from collections import Counter
 
 import pytest
 
@@ -228,3 +229,39 @@
 
 def test_a_difference_from_before_the_change_is_not_held_against_it():
     assert all(play(seed, skew=0.03) is None for seed in range(10))
+
+
+def busier(seed, harm):
+    """A node that is slower by `harm` seconds, on machines that become several times as slow meanwhile."""
+    chance, watch, judge = random.Random(seed), Watch(), Judge({"slow": 0.3}, 0.005)
+    times = {name: Counter() for name in "abc"}
+    stage = 140  # the look at which node a gets the change
+
+    def row(name, look):
+        told = {"look": {str(at): count for at, count in times[name].items()}}
+        return {"name": name, "start": name, "beat": look, "format": account.FORMAT, "cells": [], "worth": {},
+                "times": told, "cpu": 0.0, "memory": 0.0, "connections": 0}
+
+    for look in range(stage + 160):
+        usual = 0.02 if look < stage else 0.06
+        for name in times:
+            for _ in range(7):
+                took = usual * chance.lognormvariate(0.0, 0.8) + harm * (name == "a" and look >= stage)
+                times[name][account.bound(took)] += 1
+        figures = {name: row(name, look) for name in times}
+        if look <= 30:
+            watch.settle(figures.values(), look == 30)
+        did = watch.did(figures, {}, {"b", "c"})
+        if look > 30:
+            old = {what: did["b"][what] + did["c"][what] for what in did["b"]}
+            judge.look(did["a"], old, look >= stage)
+    return judge.verdict(frozenset({"slow"}))[0]
+
+
+def test_a_slower_version_is_found_on_machines_that_have_become_busy_meanwhile():
+    """By the times of before the stage 9 of 10 answers of both sides are slow: it was held for good."""
+    assert [busier(seed, harm=0.09) for seed in range(8)] == [Verdict.WORSE] * 8
+
+
+def test_machines_that_have_become_busy_make_no_version_look_slower():
+    assert [busier(seed, harm=0.0) for seed in range(8)] == [Verdict.NOT_WORSE] * 8
--- a/wheatroute/rollout/account.py
+++ b/wheatroute/rollout/account.py
@@ -105,6 +105,12 @@
     return out
 
 
+def times_between(before: Mapping[str, Any], after: Mapping[str, Any]) -> Times:
+    """Of what one process served between two of its rows."""
+    all_times, then = times([after]), times([before])
+    return {name: counts - then.get(name, Counter()) for name, counts in all_times.items()}
+
+
 def thresholds(served: Times, before: Times) -> dict[str, tuple[int, int]]:
     """The bounds beyond which half and a hundredth lie of what was served after `before` was."""
     out = {}
@@ -141,10 +147,8 @@
         for part in ("", f" class={name}", f" tenant={tenant}", f" site={site}"):
             for what, tally in told.items():
                 out[what + part] += tally
-    for name, counts in after["times"].items():
-        then = before["times"].get(name, {})
-        served = {int(at): count - then.get(at, 0) for at, count in counts.items()}  # the keys are JSON's
-        whole = sum(served.values())
+    for name, served in times_between(before, after).items():
+        whole = served.total()
         for i, what in enumerate(("slow", "slowest") if name in slow else ()):
             tally = Tally(sum(count for at, count in served.items() if at > slow[name][i]), whole)
             for part in ("", f" class={name}"):
--- a/wheatroute/rollout/controller.py
+++ b/wheatroute/rollout/controller.py
@@ -9,7 +9,7 @@
 
 import secrets
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict, deque
 from collections.abc import Iterable, Mapping
 from typing import Any
 
@@ -26,13 +26,21 @@
 ANSWERS = 2.0  # seconds for the place
 GONE = 40  # looks after which its row is dropped
 SETTLING = 0.25  # of the time before a stage, in which it is found what is slow
+RECENT = 24  # looks over which what is slow is taken from the nodes that serve unchanged
+ENOUGH_TIMES = 40  # of a type in those looks, below which what was found before the stage stands
 TAKE_OVER = 4  # looks without a word from the controllers before it, after which the next one acts
 
 
 class Watch:
-    """Rows of figures over time: what each node did between two looks."""
+    """Rows of figures over time: what each node did between two looks.
+
+    What is slow is what is slower than half of the answers of the nodes that serve unchanged, in the same
+    seconds. By times of before the stage alone nearly all answers of both sides would count as slow once the
+    machines are busier, and the two could not be told apart.
+    """
 
     def __init__(self) -> None:
+        self._recent: deque[account.Times] = deque(maxlen=RECENT)  # of the nodes that serve unchanged
         self._before: dict[tuple[str, str], dict[str, Any]] = {}
         self._beats: dict[tuple[str, str], tuple[int, float]] = {}
         self.slow: dict[str, tuple[int, int]] = {}
@@ -49,6 +57,7 @@
     def begin(self) -> None:
         """Another stage comes: what is slow is found anew."""
         self.slow, self._settled = {}, None
+        self._recent.clear()
 
     def fresh(self, rows: list[dict[str, Any]], now: float) -> dict[str, dict[str, Any]]:
         """By node, the row of the process that serves; one that stands still is left out."""
@@ -63,17 +72,37 @@
                 found[row["name"]] = row if row["name"] not in found or row["ready"] else found[row["name"]]
         return found
 
-    def did(self, rows: Mapping[str, dict[str, Any]], sites: Mapping[str, str]
+    def did(self, rows: Mapping[str, dict[str, Any]], sites: Mapping[str, str], unchanged: set[str]
             ) -> dict[str, dict[str, Tally]]:
-        """By node, since the look before."""
+        """By node, since the look before; `unchanged` are the nodes that serve as before."""
         out = {}
+        slow = self._slow_now(rows, unchanged)
         for name, row in rows.items():
             key = name, row["start"]
             if key in self._before:
-                out[name] = account.tallies(self._before[key], row, sites.get(name, ""), self.slow)
+                out[name] = account.tallies(self._before[key], row, sites.get(name, ""), slow)
         self._before = {(name, row["start"]): row for name, row in rows.items()}
         return out
 
+    def _slow_now(self, rows: Mapping[str, dict[str, Any]], unchanged: set[str]) -> account.Thresholds:
+        """Half of the times by the unchanged nodes' recent answers, where there are enough of them."""
+        now: account.Times = defaultdict(Counter)
+        for name in unchanged & rows.keys():
+            row = rows[name]
+            if before := self._before.get((name, row["start"])):
+                for what, counts in account.times_between(before, row).items():
+                    now[what].update(counts)
+        self._recent.append(now)
+        recent: account.Times = defaultdict(Counter)
+        for times in self._recent:
+            for what, counts in times.items():
+                recent[what].update(counts)
+        halves = account.thresholds(recent, {})
+        return {
+            what: (halves[what][0] if recent[what].total() >= ENOUGH_TIMES else half, hundredth)
+            for what, (half, hundredth) in self.slow.items()
+        }
+
 
 class Controller:
     """One of them. `look` is one turn."""
@@ -185,13 +214,13 @@
         if course.phase == Phase.BEFORE and plan is not None:
             settled = self._since and now - self._since >= SETTLING * plan.before
             self._watch.settle(figures.values(), bool(settled))
-        did = self._watch.did(figures, {name: one["site"] for name, one in keepers.items()})
+        mine, others = self._sides()
+        did = self._watch.did(figures, {name: one["site"] for name, one in keepers.items()}, others)
         if self._judge is None or course.phase not in (Phase.BEFORE, Phase.STAGE):
             return
         in_stage = course.phase == Phase.STAGE
         if in_stage and not course.changed(keepers):
             return
-        mine, others = self._sides()
         if not all(name in figures for name in mine):
             return
         self._since = self._since or now
