--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -1,7 +1,8 @@
 """What replication keeps and how fast it is, in virtual time: drawn histories, faults put in, failovers.
 
 Owns its counts and times; the machines, faults and invariants are those of `tests/replication`. Times are of
-the simulation (a write to disk 2 ms, a message 0.5 to 2.5 ms), not of this machine.
+the simulation (a write to disk 2 ms, a message 0.5 to 2.5 ms), not of this machine; those of a version's
+distribution to edge nodes are of this machine's processor.
 
     python benchmarks/control.py                  1,000 histories, 500 failovers
     python benchmarks/control.py --short --json   some of each; one JSON object as the last line
@@ -23,6 +24,12 @@
 from replication.simulation import Simulation, ViolationError  # noqa: E402
 from replication.test_voting import explore  # noqa: E402
 
+from wheatroute.cluster.configuration import Configuration, Route, Service  # noqa: E402
+from wheatroute.cluster.distribution import NO_SEQUENCE, decode_difference  # noqa: E402
+from wheatroute.control.versions import ConfigurationVersions  # noqa: E402
+from wheatroute.edge.routing import EMPTY_TABLE  # noqa: E402
+
+ROUTES = (20, 1520, 12_000)  # of the configurations whose distribution is measured
 WARM_UP = 3.0  # seconds until a leader is there
 WRITE_EVERY = 0.005  # seconds between two writes
 LONGEST = 10.0  # seconds until a failover counts as not come
@@ -108,6 +115,37 @@
     return looked, seen
 
 
+def many_routes(count: int, generation: int) -> Configuration:
+    """A configuration with drawn names, so that compression finds no more in it than in an operator's."""
+    chance = Random(1)
+    routes = [
+        Route(f"r-{chance.getrandbits(40):x}", f"{chance.getrandbits(32):x}.example", f"/{number}/")
+        for number in range(count)
+    ]
+    return Configuration(generation, tuple(routes), (Service("s"),))
+
+
+def distribution(routes: int) -> dict[str, float]:
+    """Bytes of a version with one route more, and of the whole; milliseconds at control and edge node."""
+    versions = ConfigurationVersions()
+    versions.commit(many_routes(routes, 1), 1)
+    whole = versions.since(NO_SEQUENCE)
+    table = EMPTY_TABLE.changed(decode_difference(whole))
+    newer = many_routes(routes + 1, 2)
+    began = time.perf_counter()
+    versions.commit(newer, 2)
+    told = versions.since(1)
+    encoded = time.perf_counter()
+    table.changed(decode_difference(told))
+    applied = time.perf_counter()
+    return {
+        f"version_bytes_{routes}": len(told),
+        f"whole_bytes_{routes}": len(whole),
+        f"version_control_ms_{routes}": round(1000 * (encoded - began), 2),
+        f"version_edge_ms_{routes}": round(1000 * (applied - encoded), 2),
+    }
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--short", action="store_true")
@@ -135,6 +173,8 @@
         "failover_worst_ms": round(1000 * max(times)),
         "ack_p99_ms": round(1000 * quantile(calm, 0.99), 1),
     }
+    for routes in ROUTES:
+        figures |= distribution(routes)
     for name, figure in figures.items():
         print(f"{name:22} {figure}")
     if told.json:
--- a/tests/edge/test_role.py
+++ b/tests/edge/test_role.py
@@ -1,5 +1,6 @@
 """The edge role as the platform meets it: a process's signals, its readiness, its primary."""
 
+import json
 import logging
 import os
 import signal
@@ -25,6 +26,8 @@
 )
 from edge.primary import ScriptedPrimary
 
+from wheatroute.cluster.configuration import decode_configuration
+from wheatroute.cluster.distribution import difference, encode_difference, snapshot
 from wheatroute.cluster.messages import NotServing, QuotaGrant, UsageAnswer, UsageReport
 from wheatroute.cluster.settings import SETTINGS_VARIABLE, Bounds, Settings
 from wheatroute.edge import control_client, selection
@@ -206,6 +209,32 @@
         assert it.node.table.sequence == 1 and it.node.instances.version.epoch == 4
 
 
+def with_change(primary, body, asked):
+    """What the primary knows, with this as the way to a newer version."""
+    return 200, msgspec.structs.replace(primary.update(asked), configuration=8, configuration_change=body)
+
+
+@story
+async def test_a_difference_that_does_not_fit_is_not_used_and_the_whole_is_asked_for():
+    """One from a version that this node doesn't have, and one that can't be read."""
+    first = snapshot(decode_configuration(json.dumps(CONFIGURATION)), 7)
+    second = snapshot(decode_configuration(json.dumps(CONFIGURATION | {"generation": 4})), 8)
+    async with running(ScriptedServer("i-1")) as it:
+        await until(lambda: it.node.ready)
+        for body in (encode_difference(difference(first, second)), b"no zlib"):
+            it.primary.sequence = 1
+            it.primary.polls.append(partial(with_change, it.primary, body))
+            it.primary.quiet.set()
+            await until(lambda: any(asked.whole for asked in it.primary.asked))
+            (wanted,) = [asked for asked in it.primary.asked if asked.whole][:1]
+            assert wanted.configuration == it.node.table.sequence == 1
+            it.primary.asked.clear()
+        it.primary.sequence = 9
+        await until(lambda: it.node.table.sequence == 9)
+        await until(lambda: not it.primary.asked[-1].whole)
+        assert status(await it.ask(request("/plain/1"))) == 200
+
+
 @story
 async def test_a_node_that_does_not_lead_is_asked_again_and_what_is_known_stays_in_force():
     async with running(ScriptedServer("i-1")) as it:
