Ranks at servers: short prompts of every priority go before long ones

Hypothesis: late rule-answers (530 to 2,200 ms, aim 526, at servers with 3 to 9 of 64 requests) wait behind long prompts of kinds with a higher priority, since sizes ranked within a priority only. Change: size first (2,000 and 10,000 tokens), then priority.

--- /dev/null
+++ b/benchmarks/ablation.py
@@ -0,0 +1,208 @@
+"""What each mechanism of serving is worth: days played without it, beside days with nothing changed.
+
+Owns the list of mechanisms, each as text substitutions that must apply exactly once to a scratch copy, so the
+product carries no switches. The days are played by the users' bench, whose path is given; all plays of a day
+have the same seed, with no processor time charged, so that the difference is the mechanism's.
+
+    python benchmarks/ablation.py BENCH SITE.toml:DAY ... --seed 3 --seed 4     a table, and JSON with --json
+    python benchmarks/ablation.py --short --json                        the substitutions alone, on a copy
+"""
+
+import json
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from statistics import NormalDist, fmean, stdev
+
+import click
+import msgspec
+
+ROOT = Path(__file__).resolve().parent.parent
+COPIED = ("wheatroute", "deploy", "requirements-system.txt", "requirements.txt", "pyproject.toml")
+WORTH_LINE = re.compile(r"^worth (-?[\d.]+) = ", re.MULTILINE)
+BROKEN_LINE = re.compile(r"^rules broken: (.*)$", re.MULTILINE)
+CONFIDENCE = 0.95
+SELECTION, DISPATCH = "wheatroute/edge/selection.py", "wheatroute/edge/dispatch.py"
+ROUTING, CONTROL_CLIENT = "wheatroute/edge/routing.py", "wheatroute/edge/control_client.py"
+INSTANCES, SUSPICION = "wheatroute/edge/instances.py", "wheatroute/control/suspicion.py"
+
+
+class Substitution(msgspec.Struct, frozen=True):
+    """A text of one file that stands there exactly once, and what takes its place."""
+
+    path: str
+    old: str
+    new: str
+
+
+class SubstitutionError(Exception):
+    """A text that should stand in a file once doesn't."""
+
+
+MECHANISMS: dict[str, Substitution] = {
+    "keyed draw": Substitution(
+        SELECTION,
+        "drawn = self._chance.random() if key is None else _hashed(key, server.id)",
+        "drawn = self._chance.random()",
+    ),
+    "redraw off crowded servers": Substitution(
+        SELECTION, "waits[server.id] if waits[server.id] > most else 0.0", "0.0"
+    ),
+    "inverse split": Substitution(
+        SELECTION, "clamped_shares([self._expected(name, now) for name in names])", "[1.0 for name in names]"
+    ),
+    "steady band of the split": Substitution(
+        SELECTION, "return 1.0 if STEADY_LOW < expected < STEADY_HIGH else expected", "return expected"
+    ),
+    "cold share": Substitution(SELECTION, "COLD_SHARE = 0.5 ", "COLD_SHARE = 1.0 "),
+    "kept parts": Substitution(SELECTION, "KEPT_MULTIPLE = 6.0 ", "KEPT_MULTIPLE = 0.0 "),
+    "parts read again weigh more": Substitution(SELECTION, "READ_AGAIN = 3.0 ", "READ_AGAIN = 1.0 "),
+    "ranks by size": Substitution(ROUTING, "sum(unread >= bound for bound in SIZE_BOUNDS)", "0"),
+    "loads of other nodes": Substitution(SELECTION, "self._elsewhere = loads", "self._elsewhere = {}"),
+    "hedge": Substitution(
+        ROUTING,
+        "return route.idempotent and route.retries > 1 and route.priority == self._hedged_priority",
+        "return False",
+    ),
+    "silent servers": Substitution(
+        SELECTION,
+        "silent = server.silent_for(now) > self.patience or server.unacknowledged(now)",
+        "silent = False",
+    ),
+    "unacknowledged bytes": Substitution(
+        SELECTION, "> self.patience or server.unacknowledged(now)", "> self.patience"
+    ),
+    "error share": Substitution(INSTANCES, "FAILING = 0.3 ", "FAILING = 1.1 "),
+    "suspicion by several nodes": Substitution(
+        CONTROL_CLIENT, "suspects = silent if silent or self._suspected else None", "suspects = None"
+    ),
+}
+
+
+def copy_with(substitution: Substitution | None, folder: Path) -> Path:
+    """A scratch copy of the sources without one mechanism; raises SubstitutionError if that fails."""
+    for name in COPIED:
+        source = ROOT / name
+        if source.is_dir():
+            shutil.copytree(source, folder / name, ignore=shutil.ignore_patterns("__pycache__"))
+        else:
+            shutil.copy(source, folder / name)
+    if substitution is not None:
+        path = folder / substitution.path
+        text = path.read_text()
+        if text.count(substitution.old) != 1:
+            raise SubstitutionError(
+                f"{substitution.path}: {text.count(substitution.old)} times {substitution.old!r}"
+            )
+        path.write_text(text.replace(substitution.old, substitution.new))
+    subprocess.run(["git", "init", "-q"], cwd=folder, check=True)
+    return folder
+
+
+def play(bench: str, folder: Path, day: str, seed: int, why: str) -> float:
+    """The worth of one day, 0 if it broke a rule; raises CalledProcessError if it wasn't played."""
+    site, _, name = day.rpartition(":")
+    command = [bench, "run", str(Path(site).resolve()), name, "--seed", str(seed), "--no-cpu", "--jobs", "1"]
+    ended = subprocess.run([*command, "--why", why], cwd=folder, capture_output=True, text=True, check=True)
+    found = WORTH_LINE.search(ended.stdout)
+    if found is None or BROKEN_LINE.search(ended.stdout):
+        return 0.0
+    return float(found[1])
+
+
+def keep_journal(folder: Path) -> None:
+    """The bench's entries of a scratch copy go in with the repository's own."""
+    for entry in (folder / "journal").glob("*.json"):
+        shutil.copy(entry, ROOT / "journal" / entry.name)
+
+
+class Row(msgspec.Struct):
+    """What a mechanism is worth on one day: the mean difference over seeds, and half its interval's width."""
+
+    mechanism: str
+    day: str
+    worth: float
+    within: float
+    seeds: int
+
+
+def row(mechanism: str, day: str, differences: list[float]) -> Row:
+    """Over the seeds; no interval from a single one."""
+    within = float("inf")
+    if len(differences) > 1:
+        within = NormalDist().inv_cdf(0.5 + CONFIDENCE / 2) * stdev(differences) / len(differences) ** 0.5
+    return Row(mechanism, day, round(fmean(differences), 4), round(within, 4), len(differences))
+
+
+def measure(bench: str, days: list[str], seeds: list[int], names: list[str], jobs: int) -> list[Row]:
+    """All mechanisms on all days and seeds."""
+    with tempfile.TemporaryDirectory() as scratch, ThreadPoolExecutor(jobs) as pool:
+        folders: dict[str, Path] = {}
+        for number, name in enumerate(["", *names]):
+            folder = Path(scratch) / str(number)
+            folder.mkdir()
+            folders[name] = copy_with(MECHANISMS.get(name), folder)
+        plays = {
+            (name, day, seed): pool.submit(
+                play, bench, folder, day, seed, f"Ablation: without {name or 'nothing'}."
+            )
+            for day in days
+            for seed in seeds
+            for name, folder in folders.items()
+        }
+        worth = {key: future.result() for key, future in plays.items()}
+        for folder in folders.values():
+            keep_journal(folder)
+    return [
+        row(name, day, [worth["", day, seed] - worth[name, day, seed] for seed in seeds])
+        for name in names
+        for day in days
+    ]
+
+
+def check_substitutions() -> int:
+    """How many apply to the sources as they are; raises SubstitutionError at the first that doesn't."""
+    for substitution in MECHANISMS.values():
+        with tempfile.TemporaryDirectory() as folder:
+            copy_with(substitution, Path(folder))
+    return len(MECHANISMS)
+
+
+@click.command()
+@click.argument("bench", required=False)
+@click.argument("days", nargs=-1)
+@click.option("--seed", "seeds", type=int, multiple=True, help="of the days; several")
+@click.option("--only", multiple=True, type=click.Choice(list(MECHANISMS)), help="of the mechanisms")
+@click.option("--jobs", default=1, show_default=True, help="plays at once")
+@click.option("--short", is_flag=True, help="the substitutions alone")
+@click.option("--json", "as_json", is_flag=True, help="one JSON object as the last line")
+def main(
+    bench: str | None,
+    days: tuple[str, ...],
+    seeds: tuple[int, ...],
+    only: tuple[str, ...],
+    jobs: int,
+    short: bool,
+    as_json: bool,
+) -> None:
+    """Plays DAYS (SITE.toml:DAY) by BENCH with each mechanism off."""
+    applied = check_substitutions()
+    if short:
+        click.echo(json.dumps({"substitutions": applied}) if as_json else f"{applied} substitutions apply")
+        return
+    if bench is None or not days:
+        raise click.UsageError("a bench and a day at least")
+    rows = measure(bench, list(days), list(seeds) or [1], list(only) or list(MECHANISMS), jobs)
+    click.echo("| mechanism | day | worth | within | seeds |\n| --- | --- | --- | --- | --- |")
+    for one in rows:
+        click.echo(f"| {one.mechanism} | {one.day} | {one.worth:+.4f} | {one.within:.4f} | {one.seeds} |")
+    if as_json:
+        click.echo(json.dumps([msgspec.to_builtins(one) for one in rows]))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/wheatroute/edge/routing.py
+++ b/wheatroute/edge/routing.py
@@ -13,7 +13,7 @@
 
 KEY_SCHEME = "token "
 SERVER_LEVELS = 10  # ranks that servers know
-SIZE_BOUNDS = (4_000, 16_000)  # prompt tokens from which a request ranks behind shorter ones of its priority
+SIZE_BOUNDS = (2_000, 10_000)  # prompt tokens from which a request ranks behind shorter ones
 
 
 class RoutingTable:
@@ -28,7 +28,8 @@
         """What is worked out anew for each version: a look at every item, but no sorting."""
         version = self.version
         self._by_key = {key: tenant for tenant in version.tenants.values() for key in tenant.api_keys}
-        self._levels = priority_levels(version)
+        self._places = priority_places(version)
+        self._sizes = max(1, min(len(SIZE_BOUNDS) + 1, SERVER_LEVELS // max(1, len(self._places))))
         # the gate of the design's hedge: the most valuable class that is safe to repeat
         self._hedged_priority = min(
             (route.priority for route in version.routes.values() if route.idempotent), default=None
@@ -105,25 +106,24 @@
         return tenant
 
     def priority(self, route: Route, tenant: Tenant | None, unread: float) -> int:
-        """The rank told to servers: by the tenant's priority or else the route's, shorter prompts first."""
+        """The rank told to servers: shorter prompts first, then by the tenant's priority or else the route's.
+
+        A short prompt costs those behind it a few hundredths of a second, a long one costs it its target.
+        """
         own = route.priority if tenant is None or tenant.priority is None else tenant.priority
-        level, steps = self._levels[own]
-        return level + min(steps - 1, sum(unread >= bound for bound in SIZE_BOUNDS))
+        size = min(self._sizes - 1, sum(unread >= bound for bound in SIZE_BOUNDS))
+        return min(SERVER_LEVELS - 1, size * len(self._places) + self._places[own])
 
     def may_hedge(self, route: Route) -> bool:
         """Whether the design's hedge is for this route."""
         return route.idempotent and route.retries > 1 and route.priority == self._hedged_priority
 
 
-def priority_levels(version: Snapshot) -> dict[int, tuple[int, int]]:
-    """For each priority in use: its first level at servers, and how many levels it has for sizes."""
+def priority_places(version: Snapshot) -> dict[int, int]:
+    """The priorities in use, each with its place among them, the most urgent first."""
     used = {route.priority for route in version.routes.values()}
     used |= {tenant.priority for tenant in version.tenants.values() if tenant.priority is not None}
-    steps = max(1, min(len(SIZE_BOUNDS) + 1, SERVER_LEVELS // max(1, len(used))))
-    return {
-        priority: (min(SERVER_LEVELS - 1, place * steps), steps)
-        for place, priority in enumerate(sorted(used))
-    }
+    return {priority: place for place, priority in enumerate(sorted(used))}
 
 
 def _routes_by_host(routes: Iterable[Route]) -> dict[str, list[Route]]:
