Names: dispatcher, version adapter, endpoints of the rig

processor/desk.py (Desk) is processor/dispatcher.py (Dispatcher), agreement/fitting.py (Fitting, Fitted) is agreement/adapter.py (VersionAdapter, AdaptedVersion), rig/people.py is rig/endpoints.py. Nothing else changes; tests are renamed with them.

--- a/tests/agreement/test_core.py
+++ b/tests/agreement/test_core.py
@@ -8,8 +8,8 @@
 
 from wheatroute import words
 from wheatroute.agreement import meeting
+from wheatroute.agreement.adapter import VersionAdapter, platform
 from wheatroute.agreement.explore import Bounds, Explorer
-from wheatroute.agreement.fitting import Fitting, platform
 from wheatroute.agreement.member import Acts, Member
 from wheatroute.agreement.places import MOST, Directory, PlaceError
 from wheatroute.agreement.versions import FORCE, WITHDRAW, ContentError, History, HistoryError, canonical
@@ -144,31 +144,31 @@
 
 # a node's versions
 
-def fitted(*changes):
+def adapted(*changes):
     told = {"settings": SETTINGS | {"dcs": ["a"], "zone": "a", "me": 0}} | boot.settled(SETTINGS)
-    fitting = Fitting(told, platform(told))
+    adapter = VersionAdapter(told, platform(told))
     for i, one in enumerate(changes, 1):
-        assert fitting.check(i, {"settings": change(SETTINGS, {"dcs": ["a"]} | one, 2)}) == ""
-    return fitting
+        assert adapter.check(i, {"settings": change(SETTINGS, {"dcs": ["a"]} | one, 2)}) == ""
+    return adapter
 
 
 def test_types_and_tenants_keep_their_numbers_whatever_order_a_version_has():
     kinds = list(reversed(SETTINGS["traffic-types"]))
-    fitting = fitted({"traffic-types": kinds}, {"traffic-types": kinds[1:]},
+    adapter = adapted({"traffic-types": kinds}, {"traffic-types": kinds[1:]},
                      {"tenants": [{"name": "new", "portion": 1.0, "quota-rps": 5.0}]})
-    before = fitting.fit(Acts(0, 0, False)).request_classes
-    assert fitting.fit(Acts(1, 0, False)).request_classes == before
-    less = fitting.fit(Acts(2, 0, False))
+    before = adapter.adapt(Acts(0, 0, False)).request_classes
+    assert adapter.adapt(Acts(1, 0, False)).request_classes == before
+    less = adapter.adapt(Acts(2, 0, False))
     assert "buy" not in less.request_classes and less.request_classes["look"] == before["look"]
     assert less.terms["request_classes"][before["buy"]]["effect"] == Effect.UNSAFE  # of those still out
     assert less.terms["request_classes"][before["buy"]]["worth"] == 0.0
-    new = fitting.fit(Acts(3, 0, False))
+    new = adapter.adapt(Acts(3, 0, False))
     assert new.tenants == {"new": 1} and [one["quota"] for one in new.terms["tenants"]] == [0.0, 5.0]
 
 
 def test_a_request_that_has_no_key_is_not_repeated_for_its_class_having_them():
-    fitting = fitted({"look__effect": "dedup"})
-    told = fitting.fit(Acts(1, 0, False))
+    adapter = adapted({"look__effect": "dedup"})
+    told = adapter.adapt(Acts(1, 0, False))
     look = told.request_classes["look"]
     forms, twin = told.forms[look]
     assert forms == {Effect.SAFE, Effect.KEYED}
@@ -184,12 +184,12 @@
             ({"allowed__connect_timeout": "soon", "look__effect": "nice"},
              "settings.traffic-types.look.effect: is none of retryable, dedup, fragile: 'nice'"
              " (and 1 more)")):
-        assert fitted().check(9, {"settings": change(SETTINGS, {"dcs": ["a"]} | changes, 2)}) == line
-    assert fitted().check(9, {"other": {}}).startswith("a version has the parts settings and file")
+        assert adapted().check(9, {"settings": change(SETTINGS, {"dcs": ["a"]} | changes, 2)}) == line
+    assert adapted().check(9, {"other": {}}).startswith("a version has the parts settings and file")
 
 
 def test_a_careful_node_takes_requests_in_the_forms_that_it_took_before():
-    told = fitted().fit(Acts(0, 0, True))
+    told = adapted().adapt(Acts(0, 0, True))
     for name, effect in (("look", Effect.SAFE), ("change", Effect.KEYED)):
         forms, _ = told.forms[told.request_classes[name]]
         assert effect in forms
--- a/tests/agreement/test_leaving.py
+++ b/tests/agreement/test_leaving.py
@@ -13,8 +13,8 @@
 from test_processes import MIX, WITHIN, first_version, kept
 
 from wheatroute.agreement import relay
+from wheatroute.agreement.adapter import AdaptedVersion
 from wheatroute.agreement.etcd import EtcdPlace
-from wheatroute.agreement.fitting import Fitted
 from wheatroute.agreement.following import Following, clock
 from wheatroute.agreement.leaving import KEPT, Leaving
 from wheatroute.agreement.member import Member
@@ -237,16 +237,16 @@
             finally:
                 self.ended.set()
 
-    class Fits:
+    class Adapts:
         def check(self, number, content):
             return ""
 
-        def fit(self, acts):
-            return Fitted({}, {}, {}, {})
+        def adapt(self, acts):
+            return AdaptedVersion({}, {}, {}, {})
 
     place = Slow(str(tmp_path))
     place.make()
-    following = Following(place, Member("n0", "1", 1000.0), Fits(), lambda fitted, binding: None,
+    following = Following(place, Member("n0", "1", 1000.0), Adapts(), lambda adapted, binding: None,
                           lambda: None, lambda: ("", 0), structlog.get_logger())
     with trio.fail_after(10):
         async with trio.open_nursery() as nursery:
--- a/tests/processor/test_processor.py
+++ b/tests/processor/test_processor.py
@@ -19,7 +19,7 @@
 from wheatroute.grpc.server import listen
 from wheatroute.grpc.session import Call, Session
 from wheatroute.net.rounds import now
-from wheatroute.processor.desk import Desk
+from wheatroute.processor.dispatcher import Dispatcher
 from wheatroute.processor.mapping import Reader
 from wheatroute.processor.service import Service
 from wheatroute.processor.streams import PATH
@@ -124,7 +124,7 @@
 
 
 def module(service):
-    return service.desk.rounds._balancer
+    return service.dispatcher.rounds._balancer
 
 
 @story
@@ -132,7 +132,7 @@
     async with processor(tmp_path) as (service, channel):
         places = [await ask(channel, f"r{n}", n % 3) for n in range(60)]
         assert {*places} == {f"127.0.0.1:{7000 + n}" for n in range(4)}
-        assert service.desk.decisions == 60 and not module(service)._requests
+        assert service.dispatcher.decisions == 60 and not module(service)._requests
 
 
 @story
@@ -142,29 +142,29 @@
             await until(lambda: module(service)._requests)
             assert one.talk.ended is None
         await until(lambda: not module(service)._requests)
-        assert service.desk.decisions == 0 and sum(module(service)._servers.held) == 0
+        assert service.dispatcher.decisions == 0 and sum(module(service)._servers.held) == 0
         service.list._take({"version": 2, "full": True, "servers": [
             {"id": "s0", "addr": "127.0.0.1:7000", "state": "in_service"}]})
         assert await ask(channel, "r1", VIEW, 2) == "127.0.0.1:7000"  # nothing ran: it may have its try
-        assert service.desk.decisions == 1
+        assert service.dispatcher.decisions == 1
 
 
 @story
 async def test_a_stream_that_ends_between_its_decision_and_the_answer_counts_as_never_sent(tmp_path):
     async with processor(tmp_path) as (service, channel):
-        start, ended = Desk.start, []
+        start, ended = Dispatcher.start, []
 
-        def late(desk, exchange, attempt):
+        def late(dispatcher, exchange, attempt):
             if not ended:
                 ended.append(1)
                 exchange.stream.over(CallError(Status.CANCELLED, "the proxy went"))
-            start(desk, exchange, attempt)
+            start(dispatcher, exchange, attempt)
 
-        with mock.patch.object(Desk, "start", late):
+        with mock.patch.object(Dispatcher, "start", late):
             async with asking(channel, "r1", PLACE):
                 await until(lambda: ended)
         await until(lambda: not module(service)._requests)
-        assert service.desk.decisions == 0 and sum(module(service)._servers.held) == 0
+        assert service.dispatcher.decisions == 0 and sum(module(service)._servers.held) == 0
         assert await ask(channel, "r1", PLACE, 2)  # it never ran: a further try may go
 
 
@@ -185,7 +185,7 @@
         assert await ask(channel, "order", PLACE, 2) == 502  # its stream ended with no word of the server
         assert await ask(channel, "order", PLACE) == 502  # nor does it help to call it a first try
         await until(lambda: sum(module(service)._servers.held) == 0)
-        assert service.desk.decisions == 1
+        assert service.dispatcher.decisions == 1
 
 
 @story
@@ -233,7 +233,7 @@
             await until(lambda: module(service)._requests)
             assert await ask(channel, "same", PLACE) == 409
         async with asking(channel, "other", VIEW):
-            await until(lambda: service.desk.asked == 3)
+            await until(lambda: service.dispatcher.asked == 3)
             assert await ask(channel, "other", PLACE) == 409  # nor as another request class
 
 
@@ -245,7 +245,7 @@
             await until(lambda: sum(module(service)._servers.held) == 0)
             assert not module(service)._requests and one.talk.ended is None
             await one.respond(200)  # too late to count, but its client may still want it
-        assert service.desk.decisions == 1
+        assert service.dispatcher.decisions == 1
 
 
 async def fails(one, *messages):
@@ -298,7 +298,7 @@
             async with channel.call(PATH) as talk:
                 await talk.send(request_headers("r", VIEW, 1, **headers))
                 assert await Opened(talk).decision() == status
-        assert service.desk.decisions == 0
+        assert service.dispatcher.decisions == 0
 
 
 @story
--- a/tests/test_rig_records.py
+++ b/tests/test_rig_records.py
@@ -5,8 +5,8 @@
 import trio
 from asynchronous import story
 
+from wheatroute.rig.endpoints import Server, listen
 from wheatroute.rig.links import Link
-from wheatroute.rig.people import Server, listen
 from wheatroute.rig.records import Asked, Ran, Records, after_answer
 
 STALL = 0.4  # seconds that the rig's process is busy
--- a/wheatroute/agreement/fitting.py
+++ b/wheatroute/agreement/adapter.py
@@ -21,7 +21,7 @@
 Settle = Callable[[dict[str, Any]], dict[str, Any]]  # raises `ContentError`
 
 
-class Fitted(NamedTuple):
+class AdaptedVersion(NamedTuple):
     """What a node acts on: names that it takes, terms, and the forms that a class may come in as well."""
 
     request_classes: dict[str, int]
@@ -30,7 +30,7 @@
     forms: Forms
 
 
-class Fitting:
+class VersionAdapter:
     """A process's versions. `own` has its file's names and terms; `settle` makes the like of a version."""
 
     def __init__(self, own: dict[str, Any], settle: Settle) -> None:
@@ -63,7 +63,7 @@
         self._known[number] = known
         return ""
 
-    def fit(self, acts: Acts) -> Fitted:
+    def adapt(self, acts: Acts) -> AdaptedVersion:
         """What to act on. Classes and tenants keep their numbers, also when they are not there any more."""
         self._past.add(acts.in_force)
         versions = [acts.in_force, *([acts.joint] if acts.joint else [])]
@@ -74,7 +74,7 @@
         if len(terms["request_classes"]) < len(self._classes):
             terms = self._within(versions, acts.careful)  # with the twins that forms wanted
         names = self._known[acts.in_force]
-        return Fitted({name: self._classes[name] for name in names["request_classes"]},
+        return AdaptedVersion({name: self._classes[name] for name in names["request_classes"]},
                       {name: self._tenants[name] for name in names["tenants"]}, terms, forms)
 
     def _number(self, version: int) -> None:
--- a/wheatroute/agreement/following.py
+++ b/wheatroute/agreement/following.py
@@ -13,7 +13,7 @@
 
 import trio
 
-from wheatroute.agreement.fitting import Fitted
+from wheatroute.agreement.adapter import AdaptedVersion
 from wheatroute.agreement.leaving import Leaving
 from wheatroute.agreement.member import Acts, Member
 from wheatroute.agreement.places import MOST, Place, PlaceError, opened, taken
@@ -31,12 +31,12 @@
     return time.clock_gettime(_CLOCK)
 
 
-class Fits(Protocol):
+class Adapts(Protocol):
     """What is needed of a process's versions."""
 
     def check(self, number: int, content: Any) -> str: ...
 
-    def fit(self, acts: Acts) -> Fitted: ...
+    def adapt(self, acts: Acts) -> AdaptedVersion: ...
 
 
 def looks_after(rank: int, pause: float) -> float:
@@ -48,15 +48,15 @@
 
 
 class Following(trio.abc.Instrument):
-    """One process's. `apply(fitted, binding)` has the front act on something, at once."""
+    """One process's. `apply(adapted, binding)` has the front act on something, at once."""
 
-    def __init__(self, place: Place, member: Member, fitting: Fits,
-                 apply: Callable[[Fitted, bool], None], settle: Callable[[], None],
+    def __init__(self, place: Place, member: Member, adapter: Adapts,
+                 apply: Callable[[AdaptedVersion, bool], None], settle: Callable[[], None],
                  listed: Callable[[], tuple[str, int]], log: Any, leaving: Leaving | None = None,
                  heed: Callable[[list[dict[str, Any]]], None] = lambda servers: None) -> None:
         self._listed, self._leaving, self._hear = listed, leaving, heed
         self._look_at = 0.0
-        self._place, self._member, self._fitting, self._log = place, member, fitting, log
+        self._place, self._member, self._adapter, self._log = place, member, adapter, log
         self._apply, self._settle = apply, settle
         self._due = -1.0  # when the present confirmation ends; before that the clock needs no thought
         self._pause = min(LONGEST, member.lasts / ASKS)
@@ -87,7 +87,7 @@
         # what only loosens leaves requests the rules that they were taken under
         looser = (not acts.careful and acts.joint in (before.joint, 0)
                   and acts.in_force in (before.in_force, before.joint))
-        self._apply(self._fitting.fit(acts), not looser)
+        self._apply(self._adapter.adapt(acts), not looser)
         self._member.acting(acts)
         self._say(acts)
         return True
@@ -135,7 +135,7 @@
             self._log.warning("settings-skipped", name=name)
         for number in member.unchecked():
             version = history.versions[number]
-            trouble = self._fitting.check(number, version.content)
+            trouble = self._adapter.check(number, version.content)
             member.checked(number, trouble)
             if trouble:
                 self._log.warning("settings-refused", version=number, trouble=trouble)
--- a/wheatroute/agreement/node.py
+++ b/wheatroute/agreement/node.py
@@ -6,7 +6,7 @@
 import secrets
 from typing import Any
 
-from wheatroute.agreement.fitting import Fitted, Fitting, platform
+from wheatroute.agreement.adapter import AdaptedVersion, VersionAdapter, platform
 from wheatroute.agreement.following import PATIENCE, Following
 from wheatroute.agreement.leaving import Leaving
 from wheatroute.agreement.member import Member
@@ -33,17 +33,17 @@
 def follow(boot: dict[str, Any], rounds: Rounds, servers: Servers, clients: Clients, discovery: Discovery,
            log: Any) -> Following:
     """Has a node act on what all agree on; it is careful until it was confirmed for the first time."""
-    def apply(fitted: Fitted, binding: bool) -> None:
-        terms = fitted.terms | discovery.counted  # nodes that are counted go before a number that was put
+    def apply(adapted: AdaptedVersion, binding: bool) -> None:
+        terms = adapted.terms | discovery.counted  # nodes that are counted go before a number that was put
         rounds.agree(terms, binding)
         servers.agree(terms)
-        clients.agree({"request_classes": fitted.request_classes, "tenants": fitted.tenants, "terms": terms},
-                      fitted.forms)
+        agreed = {"request_classes": adapted.request_classes, "tenants": adapted.tenants, "terms": terms}
+        clients.agree(agreed, adapted.forms)
 
     told, start = boot["agreement"], secrets.token_hex(6)
     leaving = discovery.leaving = Leaving(told["within"])
     leaving.listed(boot["known"])
     member = Member(boot["name"], start, told["within"])
     where = place(told, random.Random(start), PATIENCE * member.lasts / ENDPOINTS)
-    return Following(where, member, Fitting(boot, platform(boot)), apply, rounds.settle,
+    return Following(where, member, VersionAdapter(boot, platform(boot)), apply, rounds.settle,
                      lambda: discovery.acted_on, log, leaving, discovery.heed)
--- a/wheatroute/agreement/processor.py
+++ b/wheatroute/agreement/processor.py
@@ -1,4 +1,4 @@
-"""Joins a worker of the processor to the agreement. Owns what of a version its desk hears of."""
+"""Joins a worker of the processor to the agreement. Owns what of a version its dispatcher hears of."""
 
 from __future__ import annotations
 
@@ -10,13 +10,13 @@
 
 from wheatroute import config
 from wheatroute.agreement import meeting
-from wheatroute.agreement.fitting import Fitted, Fitting, Settle
+from wheatroute.agreement.adapter import AdaptedVersion, Settle, VersionAdapter
 from wheatroute.agreement.following import PATIENCE, Following
 from wheatroute.agreement.leaving import Leaving
 from wheatroute.agreement.member import Member
 from wheatroute.agreement.node import ENDPOINTS, place
 from wheatroute.agreement.versions import ContentError
-from wheatroute.processor.desk import Desk, Listed
+from wheatroute.processor.dispatcher import Dispatcher, Listed
 
 
 def shared(file: config.File, worker: int) -> Settle:
@@ -44,17 +44,19 @@
     raise ContentError(line)
 
 
-def follow(file: config.File, worker: int, told: dict[str, Any], desk: Desk, listed: Listed,
+def follow(file: config.File, worker: int, told: dict[str, Any], dispatcher: Dispatcher, listed: Listed,
            log: Any) -> Following:
     """Has a worker act on what all agree on; it is careful until it was confirmed for the first time."""
-    def apply(fitted: Fitted, binding: bool) -> None:
-        twins = {number: twin for number, (_, twin) in fitted.forms.items()}
-        desk.agree(fitted.request_classes, fitted.tenants, fitted.terms | listed.counted, twins, binding)
+    def apply(adapted: AdaptedVersion, binding: bool) -> None:
+        twins = {number: twin for number, (_, twin) in adapted.forms.items()}
+        terms = adapted.terms | listed.counted
+        dispatcher.agree(adapted.request_classes, adapted.tenants, terms, twins, binding)
 
     start = secrets.token_hex(6)
     leaving = listed.leaving = Leaving(told["agreement"]["within"])
     leaving.listed({"full": True, "servers": list(listed.entries.values())})
     member = Member(told["name"], start, told["agreement"]["within"])
     where = place(told["agreement"], random.Random(start), PATIENCE * member.lasts / ENDPOINTS)
-    return Following(where, member, Fitting(told, shared(file, worker)), apply, desk.rounds.settle,
+    adapter = VersionAdapter(told, shared(file, worker))
+    return Following(where, member, adapter, apply, dispatcher.rounds.settle,
                      lambda: listed.acted_on, log, leaving, listed.heed)
--- a/wheatroute/agreement/relay.py
+++ b/wheatroute/agreement/relay.py
@@ -17,7 +17,7 @@
 import orjson
 import trio
 
-from wheatroute.agreement.fitting import Fitted
+from wheatroute.agreement.adapter import AdaptedVersion
 from wheatroute.agreement.following import Following, clock
 from wheatroute.agreement.leaving import KEPT, order, readable
 from wheatroute.agreement.member import Acts, Member
@@ -156,8 +156,8 @@
     def check(self, number: int, content: Any) -> str:
         return ""
 
-    def fit(self, acts: Acts) -> Fitted:
-        return Fitted({}, {}, {}, {})
+    def adapt(self, acts: Acts) -> AdaptedVersion:
+        return AdaptedVersion({}, {}, {}, {})
 
 
 async def relay(store: Callable[[float], Place], directory: str, name: str, within: float, log: Any) -> None:
@@ -165,7 +165,7 @@
     Directory(directory).make()
     member = Member(name, secrets.token_hex(6), within)
     through = Through(store(member.lasts), directory, member.lasts, within)
-    following = Following(through, member, _Anything(), lambda fitted, binding: None, lambda: None,
+    following = Following(through, member, _Anything(), lambda adapted, binding: None, lambda: None,
                           lambda: ("", 0), log)
     try:
         await following.run()
--- a/wheatroute/processor/desk.py
+++ b/wheatroute/processor/dispatcher.py
@@ -1,4 +1,4 @@
-"""Where streams, the module and the list of servers meet: one desk a process.
+"""Where streams, the module and the list of servers meet: one dispatcher a process.
 
 Owns the rounds of this front, the servers' addresses and the attempts that proxies carry out. One is out from
 the decision until the proxy says what became of it, or its time is over. It must never tell the module
@@ -69,7 +69,7 @@
         self.dirty.clear()
 
 
-class Desk:
+class Dispatcher:
     """The servers' side of the rounds, and what streams are told by."""
 
     def __init__(self, told: dict[str, Any], log: Any) -> None:
@@ -190,14 +190,14 @@
 class Listed(Discovery):
     """The list of servers: from a list service or from etcd, where the file names one, else from the file."""
 
-    def __init__(self, told: dict[str, Any], rounds: Rounds, desk: Desk, log: Any) -> None:
+    def __init__(self, told: dict[str, Any], rounds: Rounds, dispatcher: Dispatcher, log: Any) -> None:
         self._served, self._etcd = told["discovery"] is not None, told["etcd"]
         self._name, self.entries = told["name"], dict[str, dict[str, Any]]()
         self.etcd: Any = None
         self._steady = told.get("agreement") is not None
         self._floor: tuple[int, int] | None = None  # of a snapshot's list, which an older one does not undo
         self._peers_kept: list[str] = []
-        super().__init__(told | {"discovery": told["discovery"] or ("", 0)}, rounds, desk, log)  # type: ignore
+        super().__init__(told | {"discovery": told["discovery"] or ("", 0)}, rounds, dispatcher, log)  # type: ignore
         self.known = True
 
     async def run(self) -> None:
--- a/wheatroute/processor/keeping.py
+++ b/wheatroute/processor/keeping.py
@@ -12,16 +12,16 @@
 
 from wheatroute import memory, snapshot
 from wheatroute.net.rounds import now
-from wheatroute.processor.desk import Desk, Listed
+from wheatroute.processor.dispatcher import Dispatcher, Listed
 
 
 class Keeping:
     """One worker's snapshot; `told` is the file's table, `source` tells which pool it is of."""
 
-    def __init__(self, told: dict[str, Any], source: dict[str, Any], desk: Desk, listed: Listed,
+    def __init__(self, told: dict[str, Any], source: dict[str, Any], dispatcher: Dispatcher, listed: Listed,
                  log: Any) -> None:
         self._path, self._every, self._oldest = told["path"], told["every"], told["oldest"]
-        self._source, self._desk, self._list, self._log = source, desk, listed, log
+        self._source, self._dispatcher, self._list, self._log = source, dispatcher, listed, log
         self.written = self.failed = 0
 
     def start(self) -> bool:
@@ -34,7 +34,7 @@
             self._log.warning("no-snapshot", path=self._path, trouble=str(trouble))
             return False
         since = max(0.0, now() - told["written"])
-        rounds = self._desk.rounds
+        rounds = self._dispatcher.rounds
         self._list.take_again(told.get("servers"), told.get("peers"), told.get("floor"))
         rounds.turn()  # so that the module knows the servers that it is told of
         recalled = memory.recall(rounds.balancer, told.get("learned"), self._list.numbers, now(), since)
@@ -52,7 +52,7 @@
             return  # nothing known is nothing worth keeping: the old one stands
         body = {"source": self._source, "servers": list(self._list.entries.values()),
                 "peers": self._list.peers(), "floor": self._list.floor,
-                "learned": memory.learned(self._desk.rounds.balancer, self._list.numbers, now())}
+                "learned": memory.learned(self._dispatcher.rounds.balancer, self._list.numbers, now())}
         data = snapshot.sealed(body, now())
         try:
             await trio.to_thread.run_sync(snapshot.write, self._path, data)
--- a/wheatroute/processor/service.py
+++ b/wheatroute/processor/service.py
@@ -23,7 +23,7 @@
 from wheatroute.grpc.session import Bounds
 from wheatroute.net.log import open_log
 from wheatroute.net.signals import heed, heeded, note_early
-from wheatroute.processor.desk import Desk, Listed
+from wheatroute.processor.dispatcher import Dispatcher, Listed
 from wheatroute.processor.keeping import Keeping
 from wheatroute.processor.streams import PATH
 from wheatroute.tls import Contexts, TlsError
@@ -44,8 +44,8 @@
         """The worker ends."""
 
 
-# makes one for a worker: its file and number, what it is told, its desk and list, its log
-Follow = Callable[[config.File, int, dict[str, Any], Desk, Listed, Any], Following]
+# makes one for a worker: its file and number, what it is told, its dispatcher and list, its log
+Follow = Callable[[config.File, int, dict[str, Any], Dispatcher, Listed, Any], Following]
 
 
 class Service:
@@ -57,28 +57,30 @@
         told, front = config.told_to_processor(file, worker), file.processor
         assert front is not None
         self._longest = max(kind["deadline"] for kind in told["terms"]["request_classes"])
-        self.desk = Desk(told, log)
-        self.list = self.desk.rounds.discovery = Listed(told, self.desk.rounds, self.desk, log)
+        self.dispatcher = Dispatcher(told, log)
+        self.list = Listed(told, self.dispatcher.rounds, self.dispatcher, log)
+        self.dispatcher.rounds.discovery = self.list
         kept = told["snapshot"]
-        self._keeping = Keeping(kept, told["source"], self.desk, self.list, log) if kept else None
+        self._keeping = Keeping(kept, told["source"], self.dispatcher, self.list, log) if kept else None
         self._following: Following | None = None
         if told["agreement"]:
             assert follow is not None, "a file with [agreement] needs who follows it"
-            self._following = follow(file, worker, told, self.desk, self.list, log)
+            self._following = follow(file, worker, told, self.dispatcher, self.list, log)
         tls = front.tls
         self._tls = Contexts(tls.certificate, tls.key, tls.client_authorities) if tls else None
-        self.server = Server({PATH: self.desk.opened}, Bounds(streams=front.most_streams), log, self._tls,
-                             front.most_connections, self.desk.burst, front.workers > 1)
+        self.server = Server({PATH: self.dispatcher.opened}, Bounds(streams=front.most_streams), log,
+                             self._tls,
+                             front.most_connections, self.dispatcher.burst, front.workers > 1)
 
     async def run(self, listener: socket.socket, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
         """Serves until SIGTERM or `stop`, and until what is open is answered."""
-        trio.lowlevel.add_instrument(self.desk.rounds.passes)
+        trio.lowlevel.add_instrument(self.dispatcher.rounds.passes)
         async with trio.open_nursery() as nursery:
             if self._keeping is not None:
                 self._keeping.start()
                 nursery.start_soon(self._keeping.run)
             following = [self._following.run] if self._following else []
-            for task in (self.list.run, self.desk.run, self.desk.rounds.run, *following):
+            for task in (self.list.run, self.dispatcher.run, self.dispatcher.rounds.run, *following):
                 nursery.start_soon(task)
             self._log.info("listening", place="{}:{}".format(*listener.getsockname()[:2]))
             task_status.started()
@@ -89,7 +91,7 @@
                 await self.list.etcd.leave()
             if self._following is not None:
                 await self._following.leave()
-            self._log.info("stopped", asked=self.desk.asked, decisions=self.desk.decisions)
+            self._log.info("stopped", asked=self.dispatcher.asked, decisions=self.dispatcher.decisions)
             nursery.cancel_scope.cancel()
 
     async def stop(self) -> None:
--- a/wheatroute/processor/streams.py
+++ b/wheatroute/processor/streams.py
@@ -40,7 +40,7 @@
         self.stream, self.earlier, self.account = stream, earlier, account
 
 
-class Desk(Protocol):
+class Dispatcher(Protocol):
     """What a stream needs of the service."""
 
     def arrived(self, stream: Stream, headers: Any) -> Asked: ...
@@ -67,10 +67,10 @@
 class Stream:
     """A receiver: one stream stands for one request of the proxy."""
 
-    __slots__ = ("call", "desk", "place", "exchange", "attempt", "words")
+    __slots__ = ("call", "dispatcher", "place", "exchange", "attempt", "words")
 
-    def __init__(self, call: Call, desk: Desk, words: Words) -> None:
-        self.call, self.desk, self.words = call, desk, words
+    def __init__(self, call: Call, dispatcher: Dispatcher, words: Words) -> None:
+        self.call, self.dispatcher, self.words = call, dispatcher, words
         self.place = Place.NEW
         self.exchange: Asked | None = None
         self.attempt: Attempt | None = None
@@ -114,7 +114,7 @@
             return
         self.place = Place.ASKED
         try:
-            self.exchange = self.desk.arrived(self, request.request_headers.headers.headers)
+            self.exchange = self.dispatcher.arrived(self, request.request_headers.headers.headers)
         except UnfitError as trouble:
             self._immediate(trouble.status, trouble.reason, 0.0)
         except RefusedError as refused:
@@ -141,7 +141,7 @@
             return
         if self.place == Place.ASKED:
             self.place = Place.ENDED
-            self.desk.left(self.exchange)
+            self.dispatcher.left(self.exchange)
             self.exchange = None
         else:
             self._done(Outcome.WITHDRAWN, None)
@@ -149,7 +149,7 @@
     def _done(self, outcome: Outcome, report: Report | None) -> None:
         if self.place == Place.DECIDED and self.exchange is not None:
             self.place = Place.ENDED
-            self.desk.ended(self.exchange, outcome, report)
+            self.dispatcher.ended(self.exchange, outcome, report)
             self.exchange = None  # they name each other
 
     def _refuse(self, status: Status, reason: str) -> None:
@@ -165,7 +165,7 @@
             return False
         self.attempt, self.place = attempt, Place.DECIDED
         self.call.send(self.words.decision(place, left))
-        self.desk.answered(self.call)
+        self.dispatcher.answered(self.call)
         return True
 
     def settled(self) -> None:
@@ -174,7 +174,7 @@
             return
         answer = self.exchange.answer
         if answer.status != ROUTED and self.place == Place.ASKED:
-            self.desk.refused(self.exchange)
+            self.dispatcher.refused(self.exchange)
             reason = "refused" if answer.status == REFUSED else "failed"
             self._immediate(answer.status, reason, answer.stay_away)
             self.exchange = None
@@ -183,7 +183,7 @@
         self.place = Place.ENDED
         self.call.send(self.words.immediate(status, reason, stay_away))
         self.call.finish()
-        self.desk.answered(self.call)
+        self.dispatcher.answered(self.call)
 
     def give_up(self) -> None:
         """The server's time is over and the proxy says nothing: the attempt has run out of time."""
--- a/wheatroute/rig/people.py
+++ b/wheatroute/rig/endpoints.py
@@ -1,4 +1,4 @@
-"""Who stands at both ends: servers that keep a ledger, list services, and clients that ask in the open.
+"""The endpoints of the rig: servers that keep a ledger, list services, and clients that ask in the open.
 
 Owns the records' facts: a server writes down a request in the moment in which it is whole, a client each
 answer in the moment in which it is whole. They must never look at the program's own word for anything.
@@ -23,7 +23,7 @@
 
 
 class Line:
-    """HTTP/1.1 messages on one connection, as the rig's own people write them."""
+    """HTTP/1.1 messages on one connection, as the rig's own clients and servers write them."""
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self.stream, self._buffer = stream, b""
--- a/wheatroute/rig/gateway.py
+++ b/wheatroute/rig/gateway.py
@@ -14,7 +14,7 @@
 from wheatroute.grpc.client import Channel
 from wheatroute.grpc.messages import CallError
 from wheatroute.grpc.talk import Talk
-from wheatroute.rig.people import BROKEN, Head, Line
+from wheatroute.rig.endpoints import BROKEN, Head, Line
 from wheatroute.standin.proxy import PATH, destination, response_headers
 
 TRIES = 4  # of a request, as the processor's file has it
--- a/wheatroute/rig/rig.py
+++ b/wheatroute/rig/rig.py
@@ -25,8 +25,8 @@
 
 from wheatroute.agreement import operator
 from wheatroute.agreement.places import Directory, Place, PlaceError, opened
+from wheatroute.rig.endpoints import Clients, ListService, Server, listen
 from wheatroute.rig.links import Datagrams, Link, reserved
-from wheatroute.rig.people import Clients, ListService, Server, listen
 from wheatroute.rig.processes import Cluster, Kept, Process, RigError
 from wheatroute.rig.records import Known, Records
 from wheatroute.rig.settings import SETTINGS, change, file_text
