--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -9,7 +9,6 @@
 """
 
 import json
-import re
 import shutil
 import subprocess
 import sys
@@ -22,9 +21,6 @@
 import msgspec
 
 ROOT = Path(__file__).resolve().parent.parent
-COPIED = ("wheatroute", "deploy", "requirements-system.txt", "requirements.txt", "pyproject.toml")
-WORTH_LINE = re.compile(r"^worth (-?[\d.]+) = ", re.MULTILINE)
-BROKEN_LINE = re.compile(r"^rules broken: (.*)$", re.MULTILINE)
 CONFIDENCE = 0.95
 SELECTION, DISPATCH = "wheatroute/edge/selection.py", "wheatroute/edge/dispatch.py"
 ROUTING, CONTROL_CLIENT = "wheatroute/edge/routing.py", "wheatroute/edge/control_client.py"
@@ -83,14 +79,14 @@
 }
 
 
+def scratch_folder() -> tempfile.TemporaryDirectory[str]:
+    """Beside the repository: the bench gives its processes a /tmp of their own, which hides what is there."""
+    return tempfile.TemporaryDirectory(dir=ROOT.parent, prefix="ablation-")
+
+
 def copy_with(substitution: Substitution | None, folder: Path) -> Path:
-    """A scratch copy of the sources without one mechanism; raises SubstitutionError if that fails."""
-    for name in COPIED:
-        source = ROOT / name
-        if source.is_dir():
-            shutil.copytree(source, folder / name, ignore=shutil.ignore_patterns("__pycache__"))
-        else:
-            shutil.copy(source, folder / name)
+    """A scratch copy of the last commit without one mechanism; raises SubstitutionError if that fails."""
+    subprocess.run(["git", "clone", "-q", str(ROOT), str(folder)], check=True)
     if substitution is not None:
         path = folder / substitution.path
         text = path.read_text()
@@ -99,19 +95,25 @@
                 f"{substitution.path}: {text.count(substitution.old)} times {substitution.old!r}"
             )
         path.write_text(text.replace(substitution.old, substitution.new))
-    subprocess.run(["git", "init", "-q"], cwd=folder, check=True)
     return folder
 
 
+class Report(msgspec.Struct):
+    """What is used of the bench's report: `G` is the day's worth after prices."""
+
+    G: float
+    breaks: dict[str, int]
+
+
 def play(bench: str, folder: Path, day: str, seed: int, why: str) -> float:
     """The worth of one day, 0 if it broke a rule; raises CalledProcessError if it wasn't played."""
     site, _, name = day.rpartition(":")
+    path = folder / f"{Path(site).stem}-{name}-{seed}.json"
     command = [bench, "run", str(Path(site).resolve()), name, "--seed", str(seed), "--no-cpu", "--jobs", "1"]
-    ended = subprocess.run([*command, "--why", why], cwd=folder, capture_output=True, text=True, check=True)
-    found = WORTH_LINE.search(ended.stdout)
-    if found is None or BROKEN_LINE.search(ended.stdout):
-        return 0.0
-    return float(found[1])
+    command += ["--report", str(path), "--why", why]
+    subprocess.run(command, cwd=folder, capture_output=True, text=True, check=True)
+    report = msgspec.json.decode(path.read_bytes(), type=Report)
+    return 0.0 if report.breaks else report.G
 
 
 def keep_journal(folder: Path) -> None:
@@ -126,25 +128,26 @@
     mechanism: str
     day: str
     worth: float
-    within: float
+    within: float | None
     seeds: int
 
 
 def row(mechanism: str, day: str, differences: list[float]) -> Row:
     """Over the seeds; no interval from a single one."""
-    within = float("inf")
+    within = None
     if len(differences) > 1:
-        within = NormalDist().inv_cdf(0.5 + CONFIDENCE / 2) * stdev(differences) / len(differences) ** 0.5
-    return Row(mechanism, day, round(fmean(differences), 4), round(within, 4), len(differences))
+        width = NormalDist().inv_cdf(0.5 + CONFIDENCE / 2) * stdev(differences) / len(differences) ** 0.5
+        within = round(width, 4)
+    name = Path(day).name.replace(".toml:", " ")
+    return Row(mechanism, name, round(fmean(differences), 4), within, len(differences))
 
 
 def measure(bench: str, days: list[str], seeds: list[int], names: list[str], jobs: int) -> list[Row]:
     """All mechanisms on all days and seeds."""
-    with tempfile.TemporaryDirectory() as scratch, ThreadPoolExecutor(jobs) as pool:
+    with scratch_folder() as scratch, ThreadPoolExecutor(jobs) as pool:
         folders: dict[str, Path] = {}
         for number, name in enumerate(["", *names]):
             folder = Path(scratch) / str(number)
-            folder.mkdir()
             folders[name] = copy_with(MECHANISMS.get(name), folder)
         plays = {
             (name, day, seed): pool.submit(
@@ -167,8 +170,8 @@
 def check_substitutions() -> int:
     """How many apply to the sources as they are; raises SubstitutionError at the first that doesn't."""
     for substitution in MECHANISMS.values():
-        with tempfile.TemporaryDirectory() as folder:
-            copy_with(substitution, Path(folder))
+        with scratch_folder() as folder:
+            copy_with(substitution, Path(folder) / "copy")
     return len(MECHANISMS)
 
 
@@ -199,7 +202,8 @@
     rows = measure(bench, list(days), list(seeds) or [1], list(only) or list(MECHANISMS), jobs)
     click.echo("| mechanism | day | worth | within | seeds |\n| --- | --- | --- | --- | --- |")
     for one in rows:
-        click.echo(f"| {one.mechanism} | {one.day} | {one.worth:+.4f} | {one.within:.4f} | {one.seeds} |")
+        within = "-" if one.within is None else f"{one.within:.4f}"
+        click.echo(f"| {one.mechanism} | {one.day} | {one.worth:+.4f} | {within} | {one.seeds} |")
     if as_json:
         click.echo(json.dumps([msgspec.to_builtins(one) for one in rows]))
 
