--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -21,6 +21,7 @@
 import msgspec
 
 ROOT = Path(__file__).resolve().parent.parent
+BUILT = Path("target") / "deps"
 CONFIDENCE = 0.95
 SELECTION, DISPATCH = "wheatroute/edge/selection.py", "wheatroute/edge/dispatch.py"
 ROUTING, CONTROL_CLIENT = "wheatroute/edge/routing.py", "wheatroute/edge/control_client.py"
@@ -87,6 +88,9 @@
 def copy_with(substitution: Substitution | None, folder: Path) -> Path:
     """A scratch copy of the last commit without one mechanism; raises SubstitutionError if that fails."""
     subprocess.run(["git", "clone", "-q", str(ROOT), str(folder)], check=True)
+    if (built := ROOT / BUILT).exists():  # else each copy is built anew
+        shutil.copytree(built, folder / BUILT)
+        (folder / BUILT).touch()
     if substitution is not None:
         path = folder / substitution.path
         text = path.read_text()
