--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -85,6 +85,16 @@
     return tempfile.TemporaryDirectory(dir=ROOT.parent, prefix="ablation-")
 
 
+def without(substitution: Substitution, root: Path) -> str:
+    """The text of a file without one mechanism; raises SubstitutionError if that doesn't apply once."""
+    text = (root / substitution.path).read_text()
+    if text.count(substitution.old) != 1:
+        raise SubstitutionError(
+            f"{substitution.path}: {text.count(substitution.old)} times {substitution.old!r}"
+        )
+    return text.replace(substitution.old, substitution.new)
+
+
 def copy_with(substitution: Substitution | None, folder: Path) -> Path:
     """A scratch copy of the last commit without one mechanism; raises SubstitutionError if that fails."""
     subprocess.run(["git", "clone", "-q", str(ROOT), str(folder)], check=True)
@@ -92,13 +102,7 @@
         shutil.copytree(built, folder / BUILT)
         (folder / BUILT).touch()
     if substitution is not None:
-        path = folder / substitution.path
-        text = path.read_text()
-        if text.count(substitution.old) != 1:
-            raise SubstitutionError(
-                f"{substitution.path}: {text.count(substitution.old)} times {substitution.old!r}"
-            )
-        path.write_text(text.replace(substitution.old, substitution.new))
+        (folder / substitution.path).write_text(without(substitution, folder))
     return folder
 
 
@@ -174,8 +178,7 @@
 def check_substitutions() -> int:
     """How many apply to the sources as they are; raises SubstitutionError at the first that doesn't."""
     for substitution in MECHANISMS.values():
-        with scratch_folder() as folder:
-            copy_with(substitution, Path(folder) / "copy")
+        without(substitution, ROOT)
     return len(MECHANISMS)
 
 
