Control: a view proposed and given up no longer holds writes up

Cause: a leader that had asked for votes on a view, and given that up, went on waiting for that view's members with every commit. If the node that it would have added was lost meanwhile, no write was acknowledged until that node came back.

--- /dev/null
+++ b/tests/test_rig_lateness.py
@@ -0,0 +1,63 @@
+"""What the rig's own loop was late is measured, bounded, and not taken for the program's delay."""
+
+import time
+
+import trio
+from asynchronous import story
+
+from wheatroute.rig.lateness import MOST_EXCUSED, LoopLateness
+from wheatroute.rig.records import Asked, Records, excused, lost, summary
+
+STALL = 0.3  # seconds
+LEFT = 2.0
+
+
+def records_of(ended, delays=()):
+    records = Records()
+    records.asked["r1"] = Asked(10.0, "n0", "r1", "look", LEFT, status=200, ended=ended, answers=1)
+    for woke, delay in delays:
+        records.lateness.note(woke, delay)
+    return records
+
+
+def test_an_answer_that_is_late_on_a_punctual_rig_is_lost():
+    assert [one.request for one in lost(records_of(ended=12.9), until=20.0)] == ["r1"]
+
+
+def test_an_answer_that_is_late_by_what_the_rig_was_is_excused_and_told():
+    records = records_of(ended=12.9, delays=[(11.0, 0.4), (12.9, 0.3)])
+    assert not lost(records, until=20.0) and len(excused(records)) == 1
+    assert summary(records, 20.0, 1.5)["rig_late_ms"] == 400.0
+
+
+def test_delays_before_and_after_a_request_excuse_nothing():
+    assert lost(records_of(ended=12.9, delays=[(9.9, 0.9), (14.0, 0.9)]), until=20.0)
+
+
+def test_no_more_is_excused_than_stated():
+    delays = [(10.0 + 0.5 * n, 0.5) for n in range(1, 12)]
+    records = records_of(ended=12.3 + MOST_EXCUSED + 0.1, delays=delays)
+    assert records.lateness.between(10.0, 16.0) == MOST_EXCUSED
+    assert lost(records, until=20.0)
+
+
+def test_a_request_without_any_answer_is_lost_however_late_the_rig():
+    records = records_of(ended=13.0, delays=[(12.0, 2.0)])
+    records.asked["r1"].status = records.asked["r1"].answers = 0
+    assert lost(records, until=20.0)
+
+
+@story
+async def test_a_busy_loop_is_noticed():
+    lateness = LoopLateness()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(lateness.run)
+        await trio.lowlevel.checkpoint()
+        start = time.monotonic()
+        while time.monotonic() < start + STALL:  # the rig's process is busy
+            pass
+        with trio.fail_after(10.0):
+            while not lateness.delays:
+                await trio.lowlevel.checkpoint()
+        nursery.cancel_scope.cancel()
+    assert lateness.between(start, time.monotonic()) > STALL / 2
--- /dev/null
+++ b/wheatroute/replication/commit.py
@@ -0,0 +1,20 @@
+"""When a leader's document is committed; free of I/O and clock."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from wheatroute.replication.view import View
+
+
+def may_commit(view: View, proposed: frozenset[str], tolerate: int, holds: Callable[[str], bool]) -> bool:
+    """Whether the leader of `view` may call a document committed that the nodes of `holds` have on disk.
+
+    Every member has it, and so many that it outlives the loss of `tolerate` disks. `proposed` are the members
+    of the views that this leader has proposed, or is about to: one of those may be decided, now or by others
+    later, and any of its members may lead the view after it.
+    """
+    needed = min(tolerate + 1, len(view.seats))
+    if len(view.members) < needed:
+        return False
+    return all(holds(member) for member in {*view.members, *proposed})
--- a/wheatroute/replication/core.py
+++ b/wheatroute/replication/core.py
@@ -12,13 +12,15 @@
 from collections.abc import Callable
 from random import Random
 
+from wheatroute.replication.commit import may_commit
 from wheatroute.replication.departure import released
 from wheatroute.replication.effects import Committed, Effect, ReadDone, Save, Send, WriteDone
 from wheatroute.replication.lease import LeaseGrant, grants
 from wheatroute.replication.peers import Peer, Peers
 from wheatroute.replication.proposal import Choice, Proposal
-from wheatroute.replication.reconfiguration import next_view
+from wheatroute.replication.reconfiguration import next_view, renewed_view
 from wheatroute.replication.saving import RecordSaver
+from wheatroute.replication.takeover import takeover_view
 from wheatroute.replication.view import (
     Accept,
     Accepted,
@@ -338,16 +340,7 @@
         return ELECTION_TIMEOUT + ELECTION_STEP * rank
 
     def _choose_takeover(self, base: View, promised: frozenset[str]) -> View | None:
-        """This node leads, with those members of the last view that answer.
-
-        Others stay while too few would be left: a view of one member would end for good with its disk. One
-        that stays holds all that was acknowledged: nothing is acknowledged before every member is in sync.
-        """
-        there = [one for one in base.members if one == self.identity or one in promised]
-        lost = [one for one in base.members if one not in there]
-        missing = max(0, self._tolerate + 1 - len(there))
-        members = (*there, *lost[:missing])
-        return View(base.epoch + 1, self.identity, members, base.seats, self._process)
+        return takeover_view(base, promised, self.identity, self._process, self._tolerate)
 
     def _propose(self, choose: Choice) -> None:
         self._highest_ballot += 1
@@ -570,17 +563,12 @@
         return next_view(self.view, self._own_peer(), self._peers.all(), held, self._tolerate, self._now)
 
     def _renewed_view(self) -> View | None:
-        """The present view once more, where votes for another one keep this leader from its lease.
-
-        If that other view may have been decided, the attempt completes it in this one's place.
-        """
+        """The present view once more, where votes or attempts of before stand in this leader's way."""
         refusing = [
             seat for seat in self.view.seats if seat != self.identity and not self._peer(seat).granting
         ]
-        if self._lease_holds(self._now) or (self._own_vote and not refusing):
-            return None
-        view = self.view
-        return View(view.epoch + 1, self.identity, view.members, view.seats, self._process)
+        granted = self._lease_holds(self._now) or (self._own_vote and not refusing)
+        return renewed_view(self.view, self._process, granted, self._proposed_members)
 
     def _reconfigure(self) -> None:
         wanted = self._wanted_view() or self._renewed_view()
@@ -629,21 +617,14 @@
         self._check_commit(self.document.stamp)
 
     def _check_commit(self, stamp: Stamp) -> None:
-        """Commits the present document once every member of the view has it on disk.
-
-        And every member of the views that this leader has proposed, or is about to: one of them may be
-        decided, now or by others later, and any of its members may lead the view after it.
-        """
+        """Commits the present document if the disks that it is known to be on are enough; see `commit`."""
         if not self.leading or stamp != self.document.stamp:
             return
         if self.committed is not None and self.committed.stamp == stamp:
             return
-        needed = min(self._tolerate + 1, len(self.view.seats))
-        holders = [member for member in self.view.members if self._holds(member, stamp)]
-        if len(holders) < len(self.view.members) or len(holders) < needed:
-            return
         planned = self._planned_members if self._proposal is not None else frozenset()
-        if not all(self._holds(member, stamp) for member in self._proposed_members | planned):
+        proposed = self._proposed_members | planned
+        if not may_commit(self.view, proposed, self._tolerate, lambda member: self._holds(member, stamp)):
             return
         self.committed = self.document
         self._effects.append(Committed(self.document))
--- a/wheatroute/replication/reconfiguration.py
+++ b/wheatroute/replication/reconfiguration.py
@@ -31,6 +31,19 @@
     return View(view.epoch + 1, primary, members, seats, known[primary].process)
 
 
+def renewed_view(view: View, process: int, granted: bool, proposed: frozenset[str]) -> View | None:
+    """The present view once more, for a leader that wants no other one; None if it needs none.
+
+    It needs one where seats that voted for another view keep it from its lease (not `granted`), and where it
+    has proposed a view and given that up: `proposed` are the members of such views. No document is committed
+    without them, since that view may have been decided, and they may be lost meanwhile. If another view was
+    decided, the attempt completes it in this one's place.
+    """
+    if granted and proposed <= set(view.members):
+        return None
+    return View(view.epoch + 1, view.primary, view.members, view.seats, process)
+
+
 def _seats(
     view: View, known: dict[str, Peer], synced: list[str], tolerate: int, now: float
 ) -> tuple[str, ...]:
