--- a/tests/control/virtual_cluster.py
+++ b/tests/control/virtual_cluster.py
@@ -11,6 +11,7 @@
 from wheatroute.cluster.settings import Settings, Tolerate
 from wheatroute.control.service import ControlService
 from wheatroute.replication import replicator as replicator_module
+from wheatroute.replication.storage import StorageError
 
 LOG = logging.getLogger("virtual-cluster")
 LOG.setLevel(logging.CRITICAL)
@@ -74,8 +75,14 @@
             # a write that was under way when the process died may have reached the disk
             if life != self.life and self.chance.random() < 0.5:
                 return
-            result = function(*rest)
-            if life == self.life and not future.cancelled():
+            alive = life == self.life and not future.cancelled()
+            try:
+                result = function(*rest)
+            except StorageError as error:
+                if alive:
+                    future.set_exception(error)
+                return
+            if alive:
                 future.set_result(result)
 
         loop.call_at(self._busy_until, run)
