--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -1,7 +1,7 @@
-"""What a rollout costs and stops: real nodes with keepers and controllers, versions made bad on purpose.
+"""What a rollout costs and stops: real nodes with supervisors and controllers, versions made bad on purpose.
 
 Owns the list of versions and the figures, from clients' and servers' records; which program runs is told by
-the keepers' rows, and steps by the course. It must never ask the judge whether it was right.
+the supervisors' rows, and steps by the progress. It must never ask the judge whether it was right.
 
     python benchmarks/rollout.py                 every kind of version, three rollouts each of the good one
     python benchmarks/rollout.py --short --json  one JSON object as the last line, within 45 s
@@ -53,29 +53,29 @@
         await it.agreed(first)
         it.call(RATE, MIX)
         with trio.fail_after(60):
-            while len(await operator.keepers(place)) < 3:
+            while len(await operator.supervisors(place)) < 3:
                 await trio.sleep(0.05)
         await trio.sleep(1.0)
         began = time.monotonic()
         await operator.start(place, plan.checked(PLAN), "a measurement")
         killed, head, name, stopped = 0, 1, it.control(), 0.0
         with trio.fail_after(150):
-            while (course := await operator.course_of(place)).phase != "ended":
-                if course.phase == "going back":
+            while (progress := await operator.progress_of(place)).phase != "ended":
+                if progress.phase == "going back":
                     stopped = stopped or time.monotonic()
-                if kill and course.head > head:
+                if kill and progress.head > head:
                     it.kill(name)
-                    killed, head, name = killed + 1, course.head, it.control()
+                    killed, head, name = killed + 1, progress.head, it.control()
                 await trio.sleep(0.05)
         ended = time.monotonic()
-        rows = await operator.keepers(place)
+        rows = await operator.supervisors(place)
         until = await it.quiet()
         await it.note()
-        out.append(figures(it, how, course, rows, began, ended, until)
+        out.append(figures(it, how, progress, rows, began, ended, until)
                    | {"killed": killed, "stopped_s": (stopped or ended) - began})
 
 
-def figures(it: Any, how: str, course: Any, rows: dict[str, dict[str, Any]], began: float, ended: float,
+def figures(it: Any, how: str, progress: Any, rows: dict[str, dict[str, Any]], began: float, ended: float,
             until: float) -> dict[str, Any]:
     kinds = {one["name"]: one for one in it.settings["traffic-types"]}
     asked = [one for one in it.records.asked.values() if began <= one.sent <= ended and one.ended]
@@ -83,16 +83,16 @@
     missed = sum(kinds[one.kind]["utility"] for one in asked
                  if one.status != 200 or one.ended - one.sent > kinds[one.kind]["target-time"])
     lost = Counter(one.node for one in records.lost(it.records, until))
-    steps = Counter((one["kind"], one.get("stage")) for one in course.records)
+    steps = Counter((one["kind"], one.get("stage")) for one in progress.records)
     took = sorted(one.ended - one.sent for one in asked if one.status == 200)
-    return {"how": how or "good", "taken_back": bool(course.reason), "reason": course.reason,
+    return {"how": how or "good", "taken_back": bool(progress.reason), "reason": progress.reason,
             "seconds": ended - began, "worth_lost": missed / worth, "commands": len(asked),
             "lost_by_it": lost["n0"] if how else 0, "lost": sum(lost.values()) - (lost["n0"] if how else 0),
             "twice": len(records.twice(it.records)) + len(records.refused_begun(it.records)),
             "steps_twice": sum(count - 1 for count in steps.values()),
             "mixed": len({row["runs"] for row in rows.values()}) - 1,
             "p99": took[int(0.99 * len(took))], "nodes": sum(
-                "event=\"took over\"" in it.processes[f"keeper-{name}"].log for name in it.names)}
+                "event=\"took over\"" in it.processes[f"supervisor-{name}"].log for name in it.names)}
 
 
 def judged(seed: int, harm: float, share: float = 0.1, rate: int = 400, before: int = 120,
--- a/tests/agreement/test_agreement_functions.py
+++ b/tests/agreement/test_agreement_functions.py
@@ -1,17 +1,19 @@
 """What single functions give, one after the other; no sockets, no clock."""
 
-from wheatroute.agreement import meeting, operator, versions
+from wheatroute.agreement import joint_terms, operator, versions
 
 
-def test_meeting_meet():
-    assert meeting._meet(meeting.TENANT, {"quota": 9.0, "portion": 0.5}, {"quota": 4.0, "portion": 0.7}) == {
+def test_joined_terms():
+    assert joint_terms._joined(
+        joint_terms.TENANT, {"quota": 9.0, "portion": 0.5}, {"quota": 4.0, "portion": 0.7}
+    ) == {
         "quota": 4.0,
         "portion": 0.5,
     }
 
 
 def test_meeting_paths():
-    assert meeting._paths({"allowed": {"cancel": True}, "tenants": [{"name": "a", "portion": 1.0}]}) == {
+    assert joint_terms._paths({"allowed": {"cancel": True}, "tenants": [{"name": "a", "portion": 1.0}]}) == {
         "allowed.cancel": True,
         "tenants.a.name": "a",
         "tenants.a.portion": 1.0,
@@ -20,9 +22,9 @@
 
 def test_meeting_unfit():
     assert (
-        meeting._unfit("allowed.connect-timeout", "soon"),
-        meeting._unfit("tick", True),
-        meeting._unfit("rules.cold", 9),
+        joint_terms._unfit("allowed.connect-timeout", "soon"),
+        joint_terms._unfit("tick", True),
+        joint_terms._unfit("rules.cold", 9),
     ) == ("is no number from 0 on: 'soon'", "is no number from 0 on: True", "")
 
 
--- a/tests/agreement/test_core.py
+++ b/tests/agreement/test_core.py
@@ -1,4 +1,4 @@
-"""Versions, their meeting, and a member: small stories, then every order of events."""
+"""Versions, their terms joined, and a member: small stories, then every order of events."""
 
 import inspect
 import itertools
@@ -7,7 +7,7 @@
 import pytest
 
 from wheatroute import words
-from wheatroute.agreement import meeting
+from wheatroute.agreement import joint_terms
 from wheatroute.agreement.adapter import VersionAdapter, platform
 from wheatroute.agreement.explore import Bounds, Explorer
 from wheatroute.agreement.member import Acts, Member
@@ -34,21 +34,30 @@
     """A history with records of these kinds, all of the version put last."""
     out = History()
     for kind in kinds:
-        record = (out.put(CONTENT, f"p{out.head}", "me", 1.0, "why") if kind == "put"
-                  else out.next(kind, version=out.pending, by="n0", reason="r"))
+        record = (
+            out.put(CONTENT, f"p{out.head}", "me", 1.0, "why")
+            if kind == "put"
+            else out.next(kind, version=out.pending, by="n0", reason="r")
+        )
         out.take(record)
     return out
 
 
 # versions
 
+
 def test_a_history_takes_its_next_record_and_nothing_else():
     told = history("put", FORCE, "put", "put", WITHDRAW)
     assert (told.in_force, told.pending) == (1, 0)
     assert [one.state for one in told.versions.values()] == ["in force", "replaced by 3", "withdrawn: r"]
     other = history("put", FORCE, "put", FORCE)
-    for wrong in (told.records[0], other.next(FORCE, version=0), told.next(FORCE, version=2),
-                  told.next("put", version=9, content={}), told.next("joint", version=4)):
+    for wrong in (
+        told.records[0],
+        other.next(FORCE, version=0),
+        told.next(FORCE, version=2),
+        told.next("put", version=9, content={}),
+        told.next("joint", version=4),
+    ):
         with pytest.raises(HistoryError):
             told.take(wrong)
     assert told.head == 5
@@ -82,68 +91,108 @@
 
 # the table
 
+
 def test_every_key_of_both_configurations_has_an_entry():
-    assert set(words.TERMS) | set(words.terms({}, {})) <= set(meeting.TERMS) | {"request_classes", "tenants"}
+    assert set(words.TERMS) | set(words.terms({}, {})) <= set(joint_terms.TERMS) | {
+        "request_classes",
+        "tenants",
+    }
     kind = words._request_class({})
-    assert set(kind) <= set(meeting.REQUEST_CLASS)
-    file = File(pools=[Pool(name="p", servers=[Server(id="s", address="127.0.0.1:1")])], traffic_types=[
-        RequestClass(name="t", effect="pure", paths=["/"], hard_stop=1.0)], customers=[Tenant(name="c")],
-        processor=Processor(listen="127.0.0.1:1", pool="p"))
+    assert set(kind) <= set(joint_terms.REQUEST_CLASS)
+    file = File(
+        pools=[Pool(name="p", servers=[Server(id="s", address="127.0.0.1:1")])],
+        traffic_types=[RequestClass(name="t", effect="pure", paths=["/"], hard_stop=1.0)],
+        customers=[Tenant(name="c")],
+        processor=Processor(listen="127.0.0.1:1", pool="p"),
+    )
     terms = told_to_processor(file)["terms"]
-    assert set(terms) <= set(meeting.TERMS) | {"request_classes", "tenants"}
-    assert set(terms["request_classes"][0]) <= set(meeting.REQUEST_CLASS)
-    assert set(terms["tenants"][0]) <= set(meeting.TENANT)
-    assert {path for path, _ in words.TERMS.values()} <= set(meeting.PATHS)
+    assert set(terms) <= set(joint_terms.TERMS) | {"request_classes", "tenants"}
+    assert set(terms["request_classes"][0]) <= set(joint_terms.REQUEST_CLASS)
+    assert set(terms["tenants"][0]) <= set(joint_terms.TENANT)
+    assert {path for path, _ in words.TERMS.values()} <= set(joint_terms.PATHS)
 
 
 def test_every_key_of_the_files_has_an_entry_too():
     for table in (File, RequestClass, Tenant, Rules):
-        assert set(table.model_fields) == set(meeting.FILE[table.__name__])
+        assert set(table.model_fields) == set(joint_terms.FILE[table.__name__])
     text = inspect.getsource(boot)
-    assert set(re.findall(r'told\.get\("([a-z_]+)"\)', text.split("def settled")[0])) <= set(meeting.BOOT)
-    assert set(meeting.FILE_KEYS) - {"rules"} <= {key for key, rule in meeting.FILE["File"].items()
-                                                  if rule != meeting.OWN}
+    assert set(re.findall(r'told\.get\("([a-z_]+)"\)', text.split("def settled")[0])) <= set(joint_terms.BOOT)
+    assert set(joint_terms.FILE_KEYS) - {"rules"} <= {
+        key for key, rule in joint_terms.FILE["File"].items() if rule != joint_terms.OWN
+    }
 
 
 def test_a_difference_is_marked_where_two_processes_may_not_hold_it_unlike():
-    old = {"file": {"nodes": 1, "rules": {"cold_time": 20.0}, "customers": [],
-                    "traffic_types": [{"name": "view", "effect": "pure", "utility": 1.0}]}}
-    new = {"file": {"nodes": 2, "rules": {"cold_time": 30.0}, "customers": [],
-                    "traffic_types": [{"name": "view", "effect": "effectful", "utility": 2.0}]},
-           "settings": {"tick": 0.01, "tenants": [{"name": "c", "quota-rps": 5.0}]}}
-    assert {path: rule for path, _, _, rule in meeting.contradictions(old, new)} == {
-        "file.nodes": meeting.MOST, "file.rules.cold_time": meeting.MOST,
-        "file.traffic_types.view.effect": meeting.STRICT, "file.traffic_types.view.utility": meeting.FREE,
-        "settings.tenants.c.name": meeting.ROUTE, "settings.tenants.c.quota-rps": meeting.LEAST,
-        "settings.tick": meeting.FIXED}
+    old = {
+        "file": {
+            "nodes": 1,
+            "rules": {"cold_time": 20.0},
+            "customers": [],
+            "traffic_types": [{"name": "view", "effect": "pure", "utility": 1.0}],
+        }
+    }
+    new = {
+        "file": {
+            "nodes": 2,
+            "rules": {"cold_time": 30.0},
+            "customers": [],
+            "traffic_types": [{"name": "view", "effect": "effectful", "utility": 2.0}],
+        },
+        "settings": {"tick": 0.01, "tenants": [{"name": "c", "quota-rps": 5.0}]},
+    }
+    assert {path: rule for path, _, _, rule in joint_terms.contradictions(old, new)} == {
+        "file.nodes": joint_terms.MOST,
+        "file.rules.cold_time": joint_terms.MOST,
+        "file.traffic_types.view.effect": joint_terms.STRICT,
+        "file.traffic_types.view.utility": joint_terms.FREE,
+        "settings.tenants.c.name": joint_terms.ROUTE,
+        "settings.tenants.c.quota-rps": joint_terms.LEAST,
+        "settings.tick": joint_terms.FIXED,
+    }
 
 
 def test_what_lies_within_two_versions_is_never_looser_than_either():
     loose = words.terms(SETTINGS, {}) | {"tick": 0.005}
     for effects in itertools.permutations(Effect, 2):
-        one, other = ({**loose, "request_classes": [loose["request_classes"][0] | {"effect": effect}]}
-                      for effect in effects)
-        assert meeting.meet(one, other)["request_classes"][0]["effect"] == max(effects)
-    tight = loose | {"most_attempts": 1, "fall_multiple": 1.0, "cold_time": 99.0, "hedges": False,
-                     "nodes": 7}
+        one, other = (
+            {**loose, "request_classes": [loose["request_classes"][0] | {"effect": effect}]}
+            for effect in effects
+        )
+        assert joint_terms.joined(one, other)["request_classes"][0]["effect"] == max(effects)
+    tight = loose | {"most_attempts": 1, "fall_multiple": 1.0, "cold_time": 99.0, "hedges": False, "nodes": 7}
     for pair in ((loose, tight), (tight, loose)):
-        met = meeting.meet(*pair)
-        assert [met[name] for name in ("most_attempts", "fall_multiple", "cold_time", "hedges", "nodes")
-                ] == [1, 1.0, 99.0, False, 7]
+        met = joint_terms.joined(*pair)
+        assert [met[name] for name in ("most_attempts", "fall_multiple", "cold_time", "hedges", "nodes")] == [
+            1,
+            1.0,
+            99.0,
+            False,
+            7,
+        ]
 
 
 def test_bad_content_gets_a_line_for_each_mistake():
-    told = meeting.troubles({"tick": 1, "novel": 2, "allowed": {"cancel": True, "peers": True},
-                             "traffic-types": [{"name": "a", "colour": 1}, {"name": "a"}], "tenants": 3})
-    assert told == ["settings.traffic-types: two of the name 'a'",
-                    "settings.traffic-types.a.colour: is no key that this program knows",
-                    "settings.tenants: is no list of tables with names",
-                    "settings.novel: is no key that this program knows",
-                    "settings.allowed.peers: each process has its own"]
+    told = joint_terms.troubles(
+        {
+            "tick": 1,
+            "novel": 2,
+            "allowed": {"cancel": True, "peers": True},
+            "traffic-types": [{"name": "a", "colour": 1}, {"name": "a"}],
+            "tenants": 3,
+        }
+    )
+    assert told == [
+        "settings.traffic-types: two of the name 'a'",
+        "settings.traffic-types.a.colour: is no key that this program knows",
+        "settings.tenants: is no list of tables with names",
+        "settings.novel: is no key that this program knows",
+        "settings.allowed.peers: each process has its own",
+    ]
 
 
 # a node's versions
 
+
 def adapted(*changes):
     told = {"settings": SETTINGS | {"dcs": ["a"], "zone": "a", "me": 0}} | boot.settled(SETTINGS)
     adapter = VersionAdapter(told, platform(told))
@@ -154,8 +203,11 @@
 
 def test_types_and_tenants_keep_their_numbers_whatever_order_a_version_has():
     kinds = list(reversed(SETTINGS["traffic-types"]))
-    adapter = adapted({"traffic-types": kinds}, {"traffic-types": kinds[1:]},
-                     {"tenants": [{"name": "new", "portion": 1.0, "quota-rps": 5.0}]})
+    adapter = adapted(
+        {"traffic-types": kinds},
+        {"traffic-types": kinds[1:]},
+        {"tenants": [{"name": "new", "portion": 1.0, "quota-rps": 5.0}]},
+    )
     before = adapter.adapt(Acts(0, 0, False)).request_classes
     assert adapter.adapt(Acts(1, 0, False)).request_classes == before
     less = adapter.adapt(Acts(2, 0, False))
@@ -178,12 +230,14 @@
 
 def test_what_only_a_restart_changes_is_refused_with_the_key():
     for changes, line in (
-            ({"tick": 0.01}, "tick: changes with a restart only, and is 0.005 here"),
-            ({"look__streamed": True}, "look.streamed: changes with a restart only, and is False here"),
-            ({"allowed__novel": 1}, "settings.allowed.novel: is no key that this program knows"),
-            ({"allowed__connect_timeout": "soon", "look__effect": "nice"},
-             "settings.traffic-types.look.effect: is none of retryable, dedup, fragile: 'nice'"
-             " (and 1 more)")):
+        ({"tick": 0.01}, "tick: changes with a restart only, and is 0.005 here"),
+        ({"look__streamed": True}, "look.streamed: changes with a restart only, and is False here"),
+        ({"allowed__novel": 1}, "settings.allowed.novel: is no key that this program knows"),
+        (
+            {"allowed__connect_timeout": "soon", "look__effect": "nice"},
+            "settings.traffic-types.look.effect: is none of retryable, dedup, fragile: 'nice' (and 1 more)",
+        ),
+    ):
         assert adapted().check(9, {"settings": change(SETTINGS, {"dcs": ["a"]} | changes, 2)}) == line
     assert adapted().check(9, {"other": {}}).startswith("a version has the parts settings and file")
 
@@ -197,6 +251,7 @@
 
 # a member
 
+
 def answered(member, moment, *told):
     member.row(0.0)
     member.answered(moment, list(told))
@@ -250,9 +305,14 @@
 
 # every order of events
 
+
 def test_no_order_of_events_lets_two_processes_act_on_what_no_version_allows():
-    for bounds, whole in ((Bounds(2, 2, 0, 3), True), (Bounds(3, 1, 0, 2, judges=1), True),
-                          (Bounds(2, 1, 1, 2), True), (Bounds(2, 1, 0, 2, refuses=((1, 1),)), True)):
+    for bounds, whole in (
+        (Bounds(2, 2, 0, 3), True),
+        (Bounds(3, 1, 0, 2, judges=1), True),
+        (Bounds(2, 1, 1, 2), True),
+        (Bounds(2, 1, 0, 2, refuses=((1, 1),)), True),
+    ):
         found = Explorer(bounds).run()
         assert not found.story, "\n".join(found.story)
         assert found.whole == whole and found.states >= 2000
@@ -340,15 +400,30 @@
 
     def may(self, now):
         acts = super().may(now)
-        return Acts(max(0, acts.in_force - (self.history.head > 1 and not self.history.pending)), acts.joint,
-                    acts.careful)
+        return Acts(
+            max(0, acts.in_force - (self.history.head > 1 and not self.history.pending)),
+            acts.joint,
+            acts.careful,
+        )
 
 
 USUAL = Bounds(2, 2, 1, 3, states=60_000)
 
 
-@pytest.mark.parametrize("fault", [FromTheAnswer, NeverLapses, WithoutJoint, Impatient, OnlyItself, TooEarly,
-                                   SaysMoreThanItDoes, StartsSure, GoesBack])
+@pytest.mark.parametrize(
+    "fault",
+    [
+        FromTheAnswer,
+        NeverLapses,
+        WithoutJoint,
+        Impatient,
+        OnlyItself,
+        TooEarly,
+        SaysMoreThanItDoes,
+        StartsSure,
+        GoesBack,
+    ],
+)
 def test_faults_put_in_on_purpose_are_found(fault):
     found = Explorer(USUAL, fault).run()
     assert found.story, f"{found.states} states"
--- a/tests/agreement/test_leaving.py
+++ b/tests/agreement/test_leaving.py
@@ -144,6 +144,7 @@
 
 def test_a_question_given_up_that_ends_late_takes_no_word_with_it(tmp_path):
     """Its thread reads the words, another question comes and goes, then the thread adds its own."""
+
     class Late(Directory):
         def words_now(self):
             found = super().words_now()
@@ -152,6 +153,7 @@
                 self.tell_now([word("s2")], [])
                 self.ask_now("n0.1", {"name": "n0"}, 0, "")
             return found
+
     place = Late(str(tmp_path))
     place.make()
     place.tell_now([word("s1")], [])
@@ -204,6 +206,7 @@
         async def tell(self, words, old):
             self.removed.extend(old)
             await super().tell(words, old)
+
     store = Told(str(tmp_path / "store"))
     store.make()
     store.tell_now([word("s1")], [])
@@ -246,8 +249,15 @@
 
     place = Slow(str(tmp_path))
     place.make()
-    following = Following(place, Member("n0", "1", 1000.0), Adapts(), lambda adapted, binding: None,
-                          lambda: None, lambda: ("", 0), structlog.get_logger())
+    following = Following(
+        place,
+        Member("n0", "1", 1000.0),
+        Adapts(),
+        lambda adapted, binding: None,
+        lambda: None,
+        lambda: ("", 0),
+        structlog.get_logger(),
+    )
     with trio.fail_after(10):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(following.run)
@@ -263,19 +273,23 @@
 
 # several processes
 
+
 async def cut_off_from_its_list(store, lists, change):
     async with rig(nodes=3, store=store, lists=lists, within=WITHIN) as it:
         it.call(40, MIX)
         await first_version(it)
-        await it.until(lambda: len({ran.server for ran in it.records.ran if ran.node == "n2"}) == 4,
-                       "n2 sends to all")
+        await it.until(
+            lambda: len({ran.server for ran in it.records.ran if ran.node == "n2"}) == 4, "n2 sends to all"
+        )
         it.cut("n2", "list")
         told = time.monotonic()
         change(it)
         # from then on n2 sends nothing there: the stated time to be told in, and the grace
         last = told + WITHIN + 2.0
-        await it.until(lambda: sum(ran.node == "n2" and ran.at > last + 0.5 for ran in it.records.ran) > 20,
-                       "n2 goes on with the others")
+        await it.until(
+            lambda: sum(ran.node == "n2" and ran.at > last + 0.5 for ran in it.records.ran) > 20,
+            "n2 goes on with the others",
+        )
         late = [ran for ran in it.records.ran if ran.node == "n2" and ran.server == "s3" and ran.at > last]
         assert not late, f"{len(late)} late, the last after {late[-1].at - told:.2f} s"
         assert "s3:terminating" in it.processes["n2"].log
@@ -294,9 +308,15 @@
         it.lists[name].say(place | {"id": "s9"})
 
 
-@pytest.mark.parametrize("store, lists, change", [
-    ("directory", "service", lambda it: it.drain("s3")), ("etcd", "service", lambda it: it.drain("s3")),
-    ("relay", "service", lambda it: it.drain("s3")), ("directory", "etcd", lambda it: it.drain("s3")),
-    ("directory", "service", moved)])
+@pytest.mark.parametrize(
+    "store, lists, change",
+    [
+        ("directory", "service", lambda it: it.drain("s3")),
+        ("etcd", "service", lambda it: it.drain("s3")),
+        ("relay", "service", lambda it: it.drain("s3")),
+        ("directory", "etcd", lambda it: it.drain("s3")),
+        ("directory", "service", moved),
+    ],
+)
 def test_a_node_that_hears_nothing_of_its_list_leaves_a_server_within_the_stated_time(store, lists, change):
     trio.run(cut_off_from_its_list, store, lists, change)
--- a/tests/agreement/test_processes.py
+++ b/tests/agreement/test_processes.py
@@ -23,6 +23,7 @@
 def story(tell):
     def run():
         trio.run(tell)
+
     run.__name__ = tell.__name__
     return run
 
@@ -38,8 +39,11 @@
     since = time.monotonic() if since is None else since
 
     def seen():
-        return any(len(runs) > 1 and runs[0].kind == kind and runs[0].node == node and runs[0].at > since
-                   for runs in records.attempts(it.records).values())
+        return any(
+            len(runs) > 1 and runs[0].kind == kind and runs[0].node == node and runs[0].at > since
+            for runs in records.attempts(it.records).values()
+        )
+
     await it.until(seen, f"{node} repeats {kind}")
 
 
@@ -52,8 +56,10 @@
 async def kept(it, **least):
     """No promise was broken, once there was so much to judge by; and the figures."""
     with trio.fail_after(20):
-        while any(records.summary(it.records, time.monotonic(), WITHIN)[name] < value
-                  for name, value in least.items()):
+        while any(
+            records.summary(it.records, time.monotonic(), WITHIN)[name] < value
+            for name, value in least.items()
+        ):
             await trio.sleep(0.1)
     until = await it.quiet()
     await it.note()
@@ -72,16 +78,25 @@
         number = await it.put("look has effects now", look__effect="fragile")
         assert await it.ended(number) == "in force"  # one that is cut off holds nobody up
         cut = time.monotonic()
-        await it.until(lambda: sum(one.status == 200 and one.node == "n2" and one.sent > cut
-                                   for one in it.records.asked.values()) > 20, "n2 goes on serving")
+        await it.until(
+            lambda: (
+                sum(
+                    one.status == 200 and one.node == "n2" and one.sent > cut
+                    for one in it.records.asked.values()
+                )
+                > 20
+            ),
+            "n2 goes on serving",
+        )
         assert "phase=careful version=1" in it.processes["n2"].log
         it.heal("n2", "store")
         await it.agreed(number)
         await kept(it, repeats=2, served=100)
 
 
-@pytest.mark.parametrize("store, way", [("directory", "both"), ("etcd", "both"), ("etcd", "there"),
-                                        ("etcd", "back")])
+@pytest.mark.parametrize(
+    "store, way", [("directory", "both"), ("etcd", "both"), ("etcd", "there"), ("etcd", "back")]
+)
 def test_a_node_cut_off_through_a_whole_change_goes_on_carefully_and_within_the_stated_time(store, way):
     trio.run(through_a_change, store, way)
 
@@ -102,8 +117,10 @@
         it.go_on("n1")
         gone_on = time.monotonic()
         await it.agreed(number)
-        await it.until(lambda: sum(ran.node == "n1" and ran.at > gone_on for ran in it.records.ran) > 20,
-                       "n1 serves again")
+        await it.until(
+            lambda: sum(ran.node == "n1" and ran.at > gone_on for ran in it.records.ran) > 20,
+            "n1 serves again",
+        )
         await kept(it, served=100)
 
 
@@ -120,8 +137,11 @@
         for name in ("n0", "n1"):  # clients hear of it: their form follows
             it.clients[name].kinds["look"] = (0.6, "retryable")
         await repeated(it, "n0")
-        first = min(runs[1].at for runs in records.attempts(it.records).values()
-                    if len(runs) > 1 and runs[0].kind == "look")
+        first = min(
+            runs[1].at
+            for runs in records.attempts(it.records).values()
+            if len(runs) > 1 and runs[0].kind == "look"
+        )
         # not before n2's last confirmation was over: it was seen at most a question before the put
         assert first - put > 0.5 * WITHIN
         it.heal("n2", "store")
@@ -160,13 +180,21 @@
             before = sum(process.log.count(phase) for process in it.processes.values()) if phase else -1
             number = await it.put("a change", look__effect=effect)
             # put, and hardly anyone has heard of it; some have; somebody has judged that all have
-            await it.until(lambda before=before: sum(process.log.count(phase) for process
-                                                     in it.processes.values()) > before, phase)
+            await it.until(
+                lambda before=before: (
+                    sum(process.log.count(phase) for process in it.processes.values()) > before
+                ),
+                phase,
+            )
             it.cluster.order("set", member=-1, silent=True)
             counts = [it.processes[name].log.count("phase=careful") for name in it.names]
-            await it.until(lambda counts=counts: all(
-                it.processes[name].log.count("phase=careful") > count
-                for name, count in zip(it.names, counts, strict=True)), "all are careful")
+            await it.until(
+                lambda counts=counts: all(
+                    it.processes[name].log.count("phase=careful") > count
+                    for name, count in zip(it.names, counts, strict=True)
+                ),
+                "all are careful",
+            )
             assert all(it.processes[name].alive for name in it.names)
             it.cluster.order("set", member=-1, silent=False)
             assert await it.ended(number) == "in force"
@@ -196,8 +224,10 @@
         assert await it.ended(number) == "in force"
         await it.agreed(number)
         it.cluster.order("restore")
-        await it.until(lambda: all("phase=careful version=2" in it.processes[name].log for name in it.names),
-                       "both are careful, and stay at what they acted on")
+        await it.until(
+            lambda: all("phase=careful version=2" in it.processes[name].log for name in it.names),
+            "both are careful, and stay at what they acted on",
+        )
         for name in it.names:
             phases = [line for line in it.processes[name].log.splitlines() if "event=settings " in line]
             acted = [int(line.split("version=")[1].split()[0]) for line in phases]
@@ -210,10 +240,16 @@
     async with rig(nodes=2, store="etcd", within=WITHIN) as it:
         await first_version(it)
         it.cluster.order("clear", cluster=77)
-        await it.until(lambda: all("cluster 4d answers in the place of 1" in it.processes[name].log
-                                   for name in it.names), "both say so")
-        await it.until(lambda: all("phase=careful version=1" in it.processes[name].log for name in it.names),
-                       "both are careful")
+        await it.until(
+            lambda: all(
+                "cluster 4d answers in the place of 1" in it.processes[name].log for name in it.names
+            ),
+            "both say so",
+        )
+        await it.until(
+            lambda: all("phase=careful version=1" in it.processes[name].log for name in it.names),
+            "both are careful",
+        )
 
 
 @story
@@ -221,8 +257,9 @@
     async with rig(nodes=2, within=WITHIN) as it:
         await first_version(it)
         it.stop("n1")  # so that the first of them stays under way
-        asked = [it.command("put", it.file_of(look__effect="fragile"), "--why", f"operator {i}")
-                 for i in range(2)]
+        asked = [
+            it.command("put", it.file_of(look__effect="fragile"), "--why", f"operator {i}") for i in range(2)
+        ]
         await it.until(lambda: not any(one.alive for one in asked), "both were answered")
         assert sorted(one.status for one in asked) == [0, 3]
         refused = next(one for one in asked if one.status == 3)
@@ -245,6 +282,7 @@
         async def cut_when_it_is_there():
             while len((await it.note()).versions) < 2:
                 await trio.sleep(0)
+
         # answers come late, so that the cut falls between the record and its answer
         it.spoil("operator", "etcd", "back", delay=0.3)
         with trio.fail_after(20):
@@ -297,8 +335,13 @@
         it.stop("n1")  # the change stays open for as long as n1's confirmation lasts
         number = await it.put("look has effects now", look__effect="fragile")
         await it.start("n2")
-        await it.until(lambda: "phase=joint version=1 joint=2" in it.processes["n2"].log
-                       or "version=2" in it.processes["n2"].log, "n2 keeps within both")
+        await it.until(
+            lambda: (
+                "phase=joint version=1 joint=2" in it.processes["n2"].log
+                or "version=2" in it.processes["n2"].log
+            ),
+            "n2 keeps within both",
+        )
         assert await it.ended(number) == "in force"
         it.go_on("n1")
         await it.agreed(number)
@@ -316,10 +359,13 @@
         it.cut("n1", "store")
         await it.start("n1")  # its own file still says that look has none
         it.call(40, MIX)
-        await it.until(lambda: sum(one.node == "n1" and one.status == 200
-                                   for one in it.records.asked.values()) > 60, "n1 serves")
-        assert not any(len(runs) > 1 and runs[0].node == "n1"
-                       for runs in records.attempts(it.records).values())
+        await it.until(
+            lambda: sum(one.node == "n1" and one.status == 200 for one in it.records.asked.values()) > 60,
+            "n1 serves",
+        )
+        assert not any(
+            len(runs) > 1 and runs[0].node == "n1" for runs in records.attempts(it.records).values()
+        )
         it.heal("n1", "store")
         await it.agreed(number)
         await kept(it)
@@ -330,7 +376,7 @@
     async with rig(nodes=2, within=WITHIN) as it:
         await first_version(it)
         double = it.double("n1")
-        await it.until(lambda: "phase=\"in force\" version=1" in double.log, "the second one was confirmed")
+        await it.until(lambda: 'phase="in force" version=1' in double.log, "the second one was confirmed")
         rows = [row for row in (await it.status())["processes"] if row["name"] == "n1"]
         assert len(rows) == 2 and all(row["doubled"] for row in rows)
         number = await it.put("a change", look__effect="fragile")
@@ -345,8 +391,12 @@
         number = await it.put("wrong", allowed__most_relays=0)
         assert await it.ended(number) == "in force"
         wrong = time.monotonic()
-        await it.until(lambda: sum(one.sent > wrong and one.status in (502, 503)
-                                   for one in it.records.asked.values()) > 20, "it refuses what comes")
+        await it.until(
+            lambda: (
+                sum(one.sent > wrong and one.status in (502, 503) for one in it.records.asked.values()) > 20
+            ),
+            "it refuses what comes",
+        )
         asked = time.monotonic()
         back = it.command("back", "1", "--why", "it refuses everything", "--wait", "10")
         await it.until(lambda: not back.alive, "it is back")
@@ -355,8 +405,10 @@
         # the command line's own start takes most of it
         assert (await it.note()).versions[3].parent == 2 and time.monotonic() - asked < 5 * WITHIN
         well = time.monotonic()
-        await it.until(lambda: sum(one.sent > well and one.status == 200
-                                   for one in it.records.asked.values()) > 20, "it handles again")
+        await it.until(
+            lambda: sum(one.sent > well and one.status == 200 for one in it.records.asked.values()) > 20,
+            "it handles again",
+        )
 
 
 @story
@@ -371,15 +423,22 @@
         assert {row["name"] for row in (await it.status())["processes"]} == {"n0", "n1", "n2", "relay-here"}
         it.cut("relay", "etcd", "back")
         number = await it.put("look has effects now", look__effect="fragile")
-        await it.until(lambda: all("phase=careful version=1" in it.processes[name].log for name in it.names),
-                       "all are careful")
+        await it.until(
+            lambda: all("phase=careful version=1" in it.processes[name].log for name in it.names),
+            "all are careful",
+        )
         it.heal("relay", "etcd")
         assert await it.ended(number) == "in force"
         await it.agreed(number)
         it.processes["relay"].signal(9)
         counts = [it.processes[name].log.count("phase=careful version=2") for name in it.names]
-        await it.until(lambda: all(it.processes[name].log.count("phase=careful version=2") > count
-                                   for name, count in zip(it.names, counts, strict=True)), "careful again")
+        await it.until(
+            lambda: all(
+                it.processes[name].log.count("phase=careful version=2") > count
+                for name, count in zip(it.names, counts, strict=True)
+            ),
+            "careful again",
+        )
         it.processes["relay"].start()
         await it.agreed(number)
         await kept(it, repeats=2)
@@ -407,9 +466,12 @@
             assert len(os.listdir(f"/proc/{pid}/task")) == 1
             assert not open(f"/proc/{pid}/task/{pid}/children").read()
             assert "event=settings" not in it.processes["n0"].log.rsplit("event=listening", 1)[1]
+
     trio.run(run)
-    text = ("import wheatroute.__main__, sys; print([one for one in sys.modules"
-            " if any(part in one for part in ('agreement', 'rfc8785', 'wheatroute.rig', 'rollout'))])")
+    text = (
+        "import wheatroute.__main__, sys; print([one for one in sys.modules"
+        " if any(part in one for part in ('agreement', 'rfc8785', 'wheatroute.rig', 'rollout'))])"
+    )
     told = subprocess.run([sys.executable, "-c", text], capture_output=True, text=True, check=True)
     assert told.stdout.strip() == "[]"
 
@@ -423,6 +485,7 @@
             it.stop("n0")
             with pytest.raises(RigError, match="waited 0.1 s until pigs fly"):
                 await it.until(lambda: False, "pigs fly", 0.1)
+
     trio.run(run)
     with pytest.raises(ProcessLookupError):
         os.kill(pids[0], 0)
@@ -439,11 +502,15 @@
         drained = time.monotonic()
         await it.until(lambda: sum(ran.at > drained + 2.3 for ran in it.records.ran) > 40, "the others serve")
         it.cluster.order("set", member=0, silent=False)
-        assert all(row["list_revision"] > 1 and row["list_source"] == "etcd 1"
-                   for row in (await it.status())["processes"])
+        assert all(
+            row["list_revision"] > 1 and row["list_source"] == "etcd 1"
+            for row in (await it.status())["processes"]
+        )
         # counted by their keys, whatever number the settings have
-        assert all("event=peers" in it.processes[name].log and "nodes=2" in it.processes[name].log
-                   for name in it.names)
+        assert all(
+            "event=peers" in it.processes[name].log and "nodes=2" in it.processes[name].log
+            for name in it.names
+        )
         await kept(it, served=100)
 
 
@@ -475,11 +542,17 @@
         drained = time.monotonic()
         await it.until(lambda: sum(ran.at > drained + 1.0 for ran in it.records.ran) > 20, "the others serve")
         it.cluster.order("clear", cluster=77)  # with no servers at all
-        await it.until(lambda: all("cluster 4d answers in the place of 1" in it.processes[name].log
-                                   for name in it.names), "both say so")
+        await it.until(
+            lambda: all(
+                "cluster 4d answers in the place of 1" in it.processes[name].log for name in it.names
+            ),
+            "both say so",
+        )
         other = time.monotonic()
-        await it.until(lambda: sum(one.sent > other and one.status == 200
-                                   for one in it.records.asked.values()) > 60, "they serve by what they had")
+        await it.until(
+            lambda: sum(one.sent > other and one.status == 200 for one in it.records.asked.values()) > 60,
+            "they serve by what they had",
+        )
         await kept(it, served=100)
 
 
@@ -492,8 +565,10 @@
         for one, other in (("n0", "n1"), ("n0", "n2"), ("n1", "n2")):
             it.spoil(one, other, lose=0.3, repeat=0.3, reorder=0.3, delay=0.05)
         words = [it.links[name] for name in ("n0-n1", "n0-n2", "n1-n2")]
-        await it.until(lambda: all(link.lost and link.repeated and link.reordered for link in words[:2]),
-                       "words were lost, repeated and out of order")
+        await it.until(
+            lambda: all(link.lost and link.repeated and link.reordered for link in words[:2]),
+            "words were lost, repeated and out of order",
+        )
         it.cut("n0", "n1", "there")
         passed = words[1].passed
         await it.until(lambda: words[1].passed > passed, "the others still talk")
@@ -560,9 +635,13 @@
         clients.kinds["peek"] = (0.0, "retryable")
         assert (await clients.ask("peek")).status == 404
         look = it.settings["traffic-types"][0]
-        number = await it.put("peek comes", **{
-            "traffic-types": [look, look | {"name": "peek"}],
-            "tenants": [{"name": "other", "portion": 1.0, "quota-rps": 500.0}]})
+        number = await it.put(
+            "peek comes",
+            **{
+                "traffic-types": [look, look | {"name": "peek"}],
+                "tenants": [{"name": "other", "portion": 1.0, "quota-rps": 500.0}],
+            },
+        )
         assert await it.ended(number) == "in force"
         await it.agreed(number)
         assert (await clients.ask("peek")).status == 200 and (await clients.ask("look")).status == 200
@@ -585,6 +664,7 @@
                 await trio.sleep(0.4)
                 it.heal("n2", "store")
                 await trio.sleep(0.05)
+
         async with trio.open_nursery() as nursery:
             nursery.start_soon(flap)
             for effect in ("fragile", "retryable"):
--- a/tests/agreement/test_workers.py
+++ b/tests/agreement/test_workers.py
@@ -25,19 +25,22 @@
                 place = held.getsockname()
                 path, store = tmp_path / "file.toml", tmp_path / "store"
                 text = FILE.format(servers=servers()).replace(
-                    'listen = "127.0.0.1:1"', f'listen = "127.0.0.1:{place[1]}"\nworkers = 2')
+                    'listen = "127.0.0.1:1"', f'listen = "127.0.0.1:{place[1]}"\nworkers = 2'
+                )
                 path.write_text(text + f'[agreement]\ndirectory = "{store}"\nwithin = {WITHIN}\n')
                 Directory(str(store)).make()
                 told = [sys.executable, "-m", "wheatroute.cli", "processor", str(path)]
                 with open(tmp_path / "log", "wb") as log:
-                    keeper = subprocess.Popen(told, stdout=log, stderr=log)
+                    supervisor = subprocess.Popen(told, stdout=log, stderr=log)
                 try:
                     await tell(Workers(path, store, place))
                 finally:
-                    keeper.send_signal(signal.SIGTERM)
-                    keeper.wait(10)
+                    supervisor.send_signal(signal.SIGTERM)
+                    supervisor.wait(10)
                     held.close()
+
         trio.run(within)
+
     run.__name__ = tell.__name__
     return run
 
@@ -58,8 +61,9 @@
         changed = self.path.with_name("changed.toml")
         changed.write_text(text)
         cli = [sys.executable, "-m", "wheatroute.cli", "settings", "--at", str(self.store)]
-        done = subprocess.run([*cli, "put", str(changed), "--why", "w", "--wait", "10"], capture_output=True,
-                              text=True)
+        done = subprocess.run(
+            [*cli, "put", str(changed), "--why", "w", "--wait", "10"], capture_output=True, text=True
+        )
         assert done.returncode == 0, done.stdout + done.stderr
         number = int(done.stdout.split()[1])
         while not [row["version"] for row in await self.rows() if row["phase"] == "in force"] == [number] * 2:
--- a/tests/processor/test_accounts.py
+++ b/tests/processor/test_accounts.py
@@ -4,7 +4,7 @@
 
 from wheatroute.interface import Effect, Group
 from wheatroute.processor.accounts import Accounts, Refusal, RefusedError
-from wheatroute.processor.service import Keeper
+from wheatroute.processor.service import WorkerSupervisor
 
 KINDS = [{"effect": effect, "group": Group.ALL, "repeat_window": 5.0, "deadline": 2.0}
          for effect in (Effect.SAFE, Effect.KEYED, Effect.UNSAFE)]
@@ -95,6 +95,6 @@
     def start(request, pass_fds):
         started.append((request, pass_fds))
         return Child(statuses[len(started) - 1])
-    keeper = Keeper([["worker"]], (7,), structlog.get_logger(), start)
-    trio.run(keeper.run)
-    assert started == [(["worker"], (7,))] * 3 and keeper.status == 2
+    supervisor = WorkerSupervisor([["worker"]], (7,), structlog.get_logger(), start)
+    trio.run(supervisor.run)
+    assert started == [(["worker"], (7,))] * 3 and supervisor.status == 2
--- a/tests/processor/test_processor.py
+++ b/tests/processor/test_processor.py
@@ -396,7 +396,7 @@
 
 
 def test_sigterm_between_listening_and_heeding_signals_ends_it_well(tmp_path):
-    """One worker, and a keeper of two, which must leave none behind; also while the file is read."""
+    """One worker, and a supervisor of two, which must leave none behind; also while the file is read."""
     code = """
 import os, signal, sys
 from wheatroute.processor import service
--- a/tests/rollout/bad.py
+++ b/tests/rollout/bad.py
@@ -24,6 +24,7 @@
             exchange.settle(Answer(503, stay_away=0.1))
         else:
             arrived(self, exchange)
+
     Rounds.arrived = instead
 
 
@@ -34,6 +35,7 @@
     def instead(self, client):
         if CHANCE.random() >= share:
             settled(self, client)
+
     Clients._settled = instead
 
 
@@ -45,12 +47,14 @@
         await trio.sleep(seconds)
         if client.exchange is not None:
             settled(self, client)
+
     Clients._settled = lambda self, client: self._nursery.start_soon(after, self, client)
 
 
 def unready():
     """It serves and never confirms anything."""
     from wheatroute.rollout.telling import Telling
+
     row = Telling.row
     Telling.row = lambda self: row(self) | {"ready": False}
 
--- a/tests/rollout/test_judging.py
+++ b/tests/rollout/test_judging.py
@@ -1,4 +1,4 @@
-"""The judge, the course and the account: small stories, then many rollouts, good and bad, by seed."""
+"""The judge, the progress and the account: small stories, then many rollouts, good and bad, by seed."""
 
 import random
 from collections import Counter
@@ -10,81 +10,86 @@
 from wheatroute.rollout import account, plan
 from wheatroute.rollout.account import Account
 from wheatroute.rollout.controller import Watch
-from wheatroute.rollout.course import Course, Kind, Phase
 from wheatroute.rollout.judge import Judge, Sequence, Tally, Verdict
+from wheatroute.rollout.progress import Kind, Phase, RolloutProgress
 
-STAGES = [{"name": "one", "nodes": ["a"], "least": 2.0, "most": 9.0, "ask": True},
-          {"name": "rest", "nodes": ["b", "c"], "least": 2.0, "most": 9.0}]
+STAGES = [
+    {"name": "one", "nodes": ["a"], "least": 2.0, "most": 9.0, "ask": True},
+    {"name": "rest", "nodes": ["b", "c"], "least": 2.0, "most": 9.0},
+]
 PLAN = plan.checked({"name": "x", "old": "1", "new": "2", "stages": STAGES, "before": 3.0, "patience": 5.0})
 
 
 def begun():
-    course = Course()
-    course.take(course.next(Kind.START, plan=PLAN.model_dump()))
-    return course
+    progress = RolloutProgress()
+    progress.take(progress.next(Kind.START, plan=PLAN.model_dump()))
+    return progress
 
 
 def rows(**runs):
     return {name: {"runs": program, "changing": False, "failed": []} for name, program in runs.items()}
 
 
-def step(course, told, watched=99.0, waited=0.0, verdict=Verdict.UNSURE, broken="", seen_before=True):
+def step(progress, told, watched=99.0, waited=0.0, verdict=Verdict.UNSURE, broken="", seen_before=True):
     """The next record is taken; its kind."""
-    record = course.step(told, watched, waited, verdict, ["seen"], broken, seen_before)
+    record = progress.step(told, watched, waited, verdict, ["seen"], broken, seen_before)
     if record is not None:
-        course.take(record)
+        progress.take(record)
     return record and record["kind"]
 
 
-# the course
+# the progress
+
 
 def test_a_course_goes_through_its_stages_and_asks_where_it_was_told_to():
-    course = begun()
-    assert step(course, rows(a="1", b="1", c="1"), watched=2.9) is None
-    assert step(course, rows(a="1", b="1", c="1")) == "stage"
-    assert [course.target(name) for name in "abc"] == ["2", "1", "1"] and course.target("z") is None
-    assert step(course, rows(a="1", b="1", c="1"), verdict=Verdict.NOT_WORSE) is None  # not changed yet
-    assert step(course, rows(a="2", b="1", c="1"), watched=1.9, verdict=Verdict.NOT_WORSE) is None
-    assert step(course, rows(a="2", b="1", c="1"), verdict=Verdict.NOT_WORSE) == "pass"
-    assert step(course, rows(a="2", b="1", c="1")) == "hold"
-    assert step(course, rows(a="2", b="1", c="1")) is None
-    course.take(course.next(Kind.GO))
-    assert step(course, rows(a="2", b="1", c="1")) == "stage"
-    assert step(course, rows(a="2", b="2", c="2"), verdict=Verdict.NOT_WORSE) == "pass"
-    assert step(course, rows(a="2", b="2", c="2")) == "end" and course.phase == Phase.ENDED
-    assert course.target("c") == "2"
+    progress = begun()
+    assert step(progress, rows(a="1", b="1", c="1"), watched=2.9) is None
+    assert step(progress, rows(a="1", b="1", c="1")) == "stage"
+    assert [progress.target(name) for name in "abc"] == ["2", "1", "1"] and progress.target("z") is None
+    assert step(progress, rows(a="1", b="1", c="1"), verdict=Verdict.NOT_WORSE) is None  # not changed yet
+    assert step(progress, rows(a="2", b="1", c="1"), watched=1.9, verdict=Verdict.NOT_WORSE) is None
+    assert step(progress, rows(a="2", b="1", c="1"), verdict=Verdict.NOT_WORSE) == "pass"
+    assert step(progress, rows(a="2", b="1", c="1")) == "hold"
+    assert step(progress, rows(a="2", b="1", c="1")) is None
+    progress.take(progress.next(Kind.GO))
+    assert step(progress, rows(a="2", b="1", c="1")) == "stage"
+    assert step(progress, rows(a="2", b="2", c="2"), verdict=Verdict.NOT_WORSE) == "pass"
+    assert step(progress, rows(a="2", b="2", c="2")) == "end" and progress.phase == Phase.ENDED
+    assert progress.target("c") == "2"
     with pytest.raises(HistoryError, match="no rollout is under way"):
-        course.take(course.next(Kind.BACK, reason="late"))
+        progress.take(progress.next(Kind.BACK, reason="late"))
 
 
-@pytest.mark.parametrize("how, reason", [
-    ({"verdict": Verdict.WORSE}, "seen"), ({"broken": "a: 2 ended", "watched": 0.0}, "a: 2 ended")])
+@pytest.mark.parametrize(
+    "how, reason",
+    [({"verdict": Verdict.WORSE}, "seen"), ({"broken": "a: 2 ended", "watched": 0.0}, "a: 2 ended")],
+)
 def test_what_does_worse_is_taken_back_and_the_end_waits_for_all_of_it(how, reason):
-    course = begun()
-    step(course, rows(a="1", b="1", c="1"))
-    assert step(course, rows(a="2", b="1", c="1"), **how) == "back" and course.reason == reason
-    assert step(course, rows(a="2", b="1", c="1")) is None and course.target("a") == "1"
-    assert step(course, rows(a="1", b="1", c="1")) == "end" and course.records[-1]["mixed"] == []
+    progress = begun()
+    step(progress, rows(a="1", b="1", c="1"))
+    assert step(progress, rows(a="2", b="1", c="1"), **how) == "back" and progress.reason == reason
+    assert step(progress, rows(a="2", b="1", c="1")) is None and progress.target("a") == "1"
+    assert step(progress, rows(a="1", b="1", c="1")) == "end" and progress.records[-1]["mixed"] == []
 
 
 def test_a_node_that_cannot_go_back_is_named_and_holds_nothing_up():
-    course = begun()
-    step(course, rows(a="1", b="1", c="1"))
-    course.take(course.next(Kind.BACK, reason="by hand"))
+    progress = begun()
+    step(progress, rows(a="1", b="1", c="1"))
+    progress.take(progress.next(Kind.BACK, reason="by hand"))
     told = rows(a="2", b="1", c="1")
-    told["a"]["failed"] = [[course.number, "1"]]
-    assert step(course, told) == "end" and course.records[-1]["mixed"] == ["a"]
+    told["a"]["failed"] = [[progress.number, "1"]]
+    assert step(progress, told) == "end" and progress.records[-1]["mixed"] == ["a"]
 
 
 def test_a_stage_that_does_not_change_in_time_goes_back_and_one_that_sees_too_little_is_held():
-    course = begun()
-    step(course, rows(a="1", b="1", c="1"))
-    assert step(course, rows(a="1", b="1", c="1"), waited=14.9) is None
-    assert step(course, rows(a="1", b="1", c="1"), waited=15.1) == "back" and "a" in course.reason
-    course = begun()
-    step(course, rows(a="1", b="1", c="1"))
-    assert step(course, rows(a="2", b="1", c="1"), watched=8.0) is None
-    assert step(course, rows(a="2", b="1", c="1"), watched=9.0) == "hold"
+    progress = begun()
+    step(progress, rows(a="1", b="1", c="1"))
+    assert step(progress, rows(a="1", b="1", c="1"), waited=14.9) is None
+    assert step(progress, rows(a="1", b="1", c="1"), waited=15.1) == "back" and "a" in progress.reason
+    progress = begun()
+    step(progress, rows(a="1", b="1", c="1"))
+    assert step(progress, rows(a="2", b="1", c="1"), watched=8.0) is None
+    assert step(progress, rows(a="2", b="1", c="1"), watched=9.0) == "hold"
 
 
 def test_a_stage_that_could_never_be_judged_does_not_begin_unless_a_person_says_so():
@@ -98,50 +103,59 @@
     assert judge.verdict(watched)[0] == Verdict.UNSURE and not judge.seen_before(watched)
     judge.look({"refused": Tally(0, 40)}, {"refused": Tally(0, 40)}, False)
     assert judge.verdict(watched)[0] == Verdict.NOT_WORSE and judge.seen_before(watched)
-    course, told = begun(), rows(a="1", b="1", c="1")
-    assert step(course, told, watched=11.9, seen_before=False) is None
-    assert step(course, told, watched=12.1, seen_before=False) == "hold"
-    assert "before the stage" in course.reason and course.target("a") == "1"
-    course.take(course.next(Kind.GO))
-    assert step(course, told, seen_before=False) == "stage"
+    progress, told = begun(), rows(a="1", b="1", c="1")
+    assert step(progress, told, watched=11.9, seen_before=False) is None
+    assert step(progress, told, watched=12.1, seen_before=False) == "hold"
+    assert "before the stage" in progress.reason and progress.target("a") == "1"
+    progress.take(progress.next(Kind.GO))
+    assert step(progress, told, seen_before=False) == "stage"
     told = rows(a="2", b="1", c="1")
-    assert step(course, told, verdict=Verdict.NOT_WORSE) == "pass"
-    assert step(course, told) == "hold"  # a person is asked after this stage
-    course.take(course.next(Kind.GO))
-    assert step(course, told, seen_before=False, watched=3.1) is None  # that go was not about what was seen
+    assert step(progress, told, verdict=Verdict.NOT_WORSE) == "pass"
+    assert step(progress, told) == "hold"  # a person is asked after this stage
+    progress.take(progress.next(Kind.GO))
+    assert step(progress, told, seen_before=False, watched=3.1) is None  # that go was not about what was seen
 
 
 def test_no_more_nodes_change_at_once_than_the_plan_lets():
-    course = begun()
-    step(course, rows(a="1", b="1", c="1"))
-    step(course, rows(a="2", b="1", c="1"), verdict=Verdict.NOT_WORSE)
-    step(course, rows(a="2", b="1", c="1"))
-    course.take(course.next(Kind.GO))
-    step(course, rows(a="2", b="1", c="1"))
+    progress = begun()
+    step(progress, rows(a="1", b="1", c="1"))
+    step(progress, rows(a="2", b="1", c="1"), verdict=Verdict.NOT_WORSE)
+    step(progress, rows(a="2", b="1", c="1"))
+    progress.take(progress.next(Kind.GO))
+    step(progress, rows(a="2", b="1", c="1"))
     told = rows(a="2", b="1", c="1")
-    assert course.may_change("b", told) and not course.may_change("c", told)
+    assert progress.may_change("b", told) and not progress.may_change("c", told)
     told["b"] |= {"runs": "2", "changing": True}  # the old one still leaves
-    assert not course.may_change("c", told)
+    assert not progress.may_change("c", told)
     told["b"]["changing"] = False
-    assert course.may_change("c", told)
+    assert progress.may_change("c", told)
 
 
 def test_records_out_of_order_of_another_rollout_or_of_a_newer_form_are_not_taken():
-    course = begun()
-    for wrong in (course.next(Kind.START, plan=PLAN.model_dump()), course.next(Kind.STAGE, stage=1),
-                  course.next(Kind.PASS, stage=0), course.next(Kind.GO), course.next(Kind.STAGE, stage=0) | {
-                      "format": 2}, course.next(Kind.STAGE, stage=0) | {"before": "x"},
-                  course.next(Kind.STAGE, stage=0) | {"kind": "jump"}):
+    progress = begun()
+    for wrong in (
+        progress.next(Kind.START, plan=PLAN.model_dump()),
+        progress.next(Kind.STAGE, stage=1),
+        progress.next(Kind.PASS, stage=0),
+        progress.next(Kind.GO),
+        progress.next(Kind.STAGE, stage=0) | {"format": 2},
+        progress.next(Kind.STAGE, stage=0) | {"before": "x"},
+        progress.next(Kind.STAGE, stage=0) | {"kind": "jump"},
+    ):
         with pytest.raises(HistoryError):
-            course.take(wrong)
-    assert course.head == 1 and course.phase == Phase.BEFORE
+            progress.take(wrong)
+    assert progress.head == 1 and progress.phase == Phase.BEFORE
 
 
 # the account
 
+
 def test_an_account_counts_what_became_of_each_request_and_what_was_lost():
-    one = Account({"look": 0, "buy": 1}, {"shop": 0}, [{"target_latency": 0.5, "worth": 5.0},
-                                                      {"target_latency": 0.5, "worth": 10.0}])
+    one = Account(
+        {"look": 0, "buy": 1},
+        {"shop": 0},
+        [{"target_latency": 0.5, "worth": 5.0}, {"target_latency": 0.5, "worth": 10.0}],
+    )
 
     def take(number, kind=0):
         exchange = Exchange(b"GET", b"/", b"n", b"", b"")
@@ -149,9 +163,11 @@
         exchange.deadline = 101.0
         one.took(exchange)
         return exchange
+
     before = one.row(100.0) | {"start": "s", "cpu": 0.0, "memory": 1, "connections": 1}
-    for number, (status, at, kind) in enumerate(((200, 100.1, 0), (200, 100.9, 0), (503, 100.1, 1),
-                                                  (502, 100.1, 1))):
+    for number, (status, at, kind) in enumerate(
+        ((200, 100.1, 0), (200, 100.9, 0), (503, 100.1, 1), (502, 100.1, 1))
+    ):
         exchange = take(number, kind)
         exchange.answer = Answer(status)
         one.settled(exchange, at)
@@ -192,6 +208,7 @@
 
 # the judge
 
+
 def test_what_has_not_happened_yet_is_not_known_to_be_rare():
     one = Sequence()
     for _ in range(8):
@@ -214,6 +231,7 @@
         def side(count, refused, extra=0.02):
             bad = sum(chance.random() < refused for _ in range(count))
             return {"refused": Tally(bad, count), "worth": Tally(bad + extra * count, count)}
+
         mine = max(0.0, usual + lean) + (harm if second >= before else 0.0)
         judge.look(side(int(load * share), mine), side(int(load * (1 - share)), usual), second >= before)
         if second >= before and judge.verdict(frozenset(judge.margins))[0] == Verdict.WORSE:
@@ -239,8 +257,18 @@
 
     def row(name, look):
         told = {"look": {str(at): count for at, count in times[name].items()}}
-        return {"name": name, "start": name, "beat": look, "format": account.FORMAT, "cells": [], "worth": {},
-                "times": told, "cpu": 0.0, "memory": 0.0, "connections": 0}
+        return {
+            "name": name,
+            "start": name,
+            "beat": look,
+            "format": account.FORMAT,
+            "cells": [],
+            "worth": {},
+            "times": told,
+            "cpu": 0.0,
+            "memory": 0.0,
+            "connections": 0,
+        }
 
     for look in range(stage + 160):
         usual = 0.02 if look < stage else 0.06
--- a/tests/rollout/test_rollouts.py
+++ b/tests/rollout/test_rollouts.py
@@ -1,4 +1,4 @@
-"""Rollouts by keepers and controllers, each a process, judged from outside by servers and clients."""
+"""Rollouts by supervisors and controllers, each a process, judged from outside by servers and clients."""
 
 import subprocess
 import sys
@@ -23,8 +23,11 @@
 TIMES_WATCHED = {
     "watched": ["worth", "refused", "terminated", "slow"],
     "before": 48.0,
-    "stages": [{"name": "one", "nodes": ["n0"], "least": 2.0, "most": 100.0},
-               {"name": "rest", "nodes": ["n1", "n2"], "least": 2.0, "most": 100.0}]}
+    "stages": [
+        {"name": "one", "nodes": ["n0"], "least": 2.0, "most": 100.0},
+        {"name": "rest", "nodes": ["n1", "n2"], "least": 2.0, "most": 100.0},
+    ],
+}
 
 
 def bad(how):
@@ -33,22 +36,34 @@
 
 def told(**more):
     """A plan for three nodes in two stages."""
-    stages = [{"name": "one", "nodes": ["n0"], "least": 2.0, "most": 20.0},
-              {"name": "rest", "nodes": ["n1", "n2"], "least": 2.0, "most": 20.0}]
-    return plan.checked({"name": "a change", "old": "old", "new": "new", "stages": stages, "before": 6.0,
-                         "patience": 10.0, "margins": {"worth": 0.2, "refused": 0.06, "terminated": 0.06,
-                                                       "slow": 0.3}} | more)
+    stages = [
+        {"name": "one", "nodes": ["n0"], "least": 2.0, "most": 20.0},
+        {"name": "rest", "nodes": ["n1", "n2"], "least": 2.0, "most": 20.0},
+    ]
+    return plan.checked(
+        {
+            "name": "a change",
+            "old": "old",
+            "new": "new",
+            "stages": stages,
+            "before": 6.0,
+            "patience": 10.0,
+            "margins": {"worth": 0.2, "refused": 0.06, "terminated": 0.06, "slow": 0.3},
+        }
+        | more
+    )
 
 
 def story(tell):
     def run():
         trio.run(tell)
+
     run.__name__ = tell.__name__
     return run
 
 
 class Story:
-    """A rig with keepers, and the place of its rollouts."""
+    """A rig with supervisors, and the place of its rollouts."""
 
     def __init__(self, it):
         self.it, self.place = it, Directory(str(it.folder / "rollouts"))
@@ -58,29 +73,35 @@
         await self.it.agreed(number)
         await self.until(lambda rows: len(rows) == 3 and all(row["runs"] == "old" for row in rows.values()))
         self.it.call(rate, MIX)
-        await self.it.until(lambda: sum(one.status == 200 for one in self.it.records.asked.values()) > 100,
-                            "all serve")
+        await self.it.until(
+            lambda: sum(one.status == 200 for one in self.it.records.asked.values()) > 100, "all serve"
+        )
 
     async def until(self, what, patience=30.0):
-        """By the keepers' rows, for what cannot be seen from outside: which program runs."""
+        """By the supervisors' rows, for what cannot be seen from outside: which program runs."""
         with trio.fail_after(patience):
-            while not what(await operator.keepers(self.place)):
+            while not what(await operator.supervisors(self.place)):
                 await trio.sleep(0.05)
 
     async def ended(self, patience=60.0):
         with trio.move_on_after(patience):
             while True:
-                course = await operator.course_of(self.place)
-                if course.phase == "ended":
-                    return course
+                progress = await operator.progress_of(self.place)
+                if progress.phase == "ended":
+                    return progress
                 await trio.sleep(0.1)
         raise AssertionError(f"not ended in {patience:g} s: {await self.standing()}")
 
     async def standing(self):
-        """Where the rollout stands by the course, the keepers and the controllers."""
-        course = await operator.course_of(self.place)
-        return "\n".join([f"{course.phase}, {course.reason or 'no reason'}",
-                          *map(str, course.records), *map(str, await self.place.rows())])
+        """Where the rollout stands by the progress, the supervisors and the controllers."""
+        progress = await operator.progress_of(self.place)
+        return "\n".join(
+            [
+                f"{progress.phase}, {progress.reason or 'no reason'}",
+                *map(str, progress.records),
+                *map(str, await self.place.rows()),
+            ]
+        )
 
     async def kept(self):
         """No rule was broken by anyone."""
@@ -90,8 +111,8 @@
         assert not breaches, "\n".join([breaches[0].rule, *breaches[0].story])
 
 
-def kinds(course):
-    return [one["kind"] for one in course.records]
+def kinds(progress):
+    return [one["kind"] for one in progress.records]
 
 
 @story
@@ -101,10 +122,10 @@
         await one.ready()
         it.control()
         number = await operator.start(one.place, told(), "a story")
-        course = await one.ended()
+        progress = await one.ended()
         assert number == 1
-        assert kinds(course) == ["start", "stage", "pass", "stage", "pass", "end"], course.records
-        assert {row["runs"] for row in (await operator.keepers(one.place)).values()} == {"new"}
+        assert kinds(progress) == ["start", "stage", "pass", "stage", "pass", "end"], progress.records
+        assert {row["runs"] for row in (await operator.supervisors(one.place)).values()} == {"new"}
         assert sum(one.status != 200 for one in it.records.asked.values() if one.status) == 0
         await one.kept()
 
@@ -117,16 +138,18 @@
             await one.ready()
             it.control()
             await operator.start(one.place, told(), "a story")
-            course = await one.ended()
-            assert kinds(course) == ["start", "stage", "back", "end"] and reason in course.reason
-            rows = await operator.keepers(one.place)
-            assert {row["runs"] for row in rows.values()} == {"old"} and course.records[-1]["mixed"] == []
+            progress = await one.ended()
+            assert kinds(progress) == ["start", "stage", "back", "end"] and reason in progress.reason
+            rows = await operator.supervisors(one.place)
+            assert {row["runs"] for row in rows.values()} == {"old"} and progress.records[-1]["mixed"] == []
             await one.kept()
+
     trio.run(tell)
 
 
-@pytest.mark.parametrize("how, word", [("refuses", "refused"), ("late", "slow"), ("loses", "lost"),
-                                       ("dies later", "new ended")])
+@pytest.mark.parametrize(
+    "how, word", [("refuses", "refused"), ("late", "slow"), ("loses", "lost"), ("dies later", "new ended")]
+)
 def test_a_version_that_does_worse_is_taken_back_from_the_one_node_that_had_it(how, word):
     async def tell():
         async with rig(nodes=3, within=WITHIN, programs={"old": GOOD, "new": bad(how)}, longest=300.0) as it:
@@ -134,14 +157,18 @@
             await one.ready()
             it.control()
             await operator.start(one.place, told(**(TIMES_WATCHED if word == "slow" else {})), "a story")
-            course = await one.ended(200.0)
-            assert kinds(course) == ["start", "stage", "back", "end"], course.records
-            assert word in course.reason
-            assert {row["runs"] for row in (await operator.keepers(one.place)).values()} == {"old"}
+            progress = await one.ended(200.0)
+            assert kinds(progress) == ["start", "stage", "back", "end"], progress.records
+            assert word in progress.reason
+            assert {row["runs"] for row in (await operator.supervisors(one.place)).values()} == {"old"}
             # what the bad one did is its own; the other nodes' clients felt none of it
             for name in ("n1", "n2"):
-                assert all(one.status == 200 for one in it.records.asked.values()
-                           if one.node == name and one.ended and one.status)
+                assert all(
+                    one.status == 200
+                    for one in it.records.asked.values()
+                    if one.node == name and one.ended and one.status
+                )
+
     trio.run(tell)
 
 
@@ -155,15 +182,16 @@
         with trio.fail_after(90):
             while True:
                 name, other = it.control(), it.control()
-                while (course := await operator.course_of(one.place)).head == max(seen, 1) \
-                        and course.phase != "ended":
+                while (progress := await operator.progress_of(one.place)).head == max(
+                    seen, 1
+                ) and progress.phase != "ended":
                     await trio.sleep(0.05)
                 it.kill(name)
                 it.kill(other)
-                seen = course.head
-                if course.phase == "ended":
+                seen = progress.head
+                if progress.phase == "ended":
                     break
-        assert kinds(course) == ["start", "stage", "pass", "stage", "pass", "end"], course.records
+        assert kinds(progress) == ["start", "stage", "pass", "stage", "pass", "end"], progress.records
         await one.kept()
 
 
@@ -173,12 +201,20 @@
         one = Story(it)
         await one.ready()
         pids = it.processes["n0"].pids
-        it.processes["keeper-n0"].end()
+        it.processes["supervisor-n0"].end()
         dead = time.monotonic()
-        await it.until(lambda: sum(one.status == 200 and one.node == "n0" and one.sent > dead
-                                   for one in it.records.asked.values()) > 20, "n0 goes on serving")
-        it.processes["keeper-n0"].start()
-        await it.until(lambda: "event=found" in it.processes["keeper-n0"].log, "it is found")
+        await it.until(
+            lambda: (
+                sum(
+                    one.status == 200 and one.node == "n0" and one.sent > dead
+                    for one in it.records.asked.values()
+                )
+                > 20
+            ),
+            "n0 goes on serving",
+        )
+        it.processes["supervisor-n0"].start()
+        await it.until(lambda: "event=found" in it.processes["supervisor-n0"].log, "it is found")
         assert it.processes["n0"].pids == pids and len(pids) == 1
         it.control()
         await operator.start(one.place, told(), "a story")
@@ -191,15 +227,22 @@
     cli = [sys.executable, "-m", "wheatroute.cli"]
     path = tmp_path / "plan.toml"
     path.write_text('name = "x"\nold = "a"\nnew = "a"\n[[stages]]\nname = "s"\nnodes = ["n0"]\n')
-    done = subprocess.run([*cli, "rollout", "--at", str(tmp_path / "r"), "start", str(path), "--why", "w"],
-                          capture_output=True, text=True)
+    done = subprocess.run(
+        [*cli, "rollout", "--at", str(tmp_path / "r"), "start", str(path), "--why", "w"],
+        capture_output=True,
+        text=True,
+    )
     assert done.returncode == 2 and "old and new are one program" in done.stderr
     path.write_text(path.read_text().replace('new = "a"', 'new = "b"'))
-    done = subprocess.run([*cli, "rollout", "--at", str(tmp_path / "r"), "start", str(path), "--why", "w"],
-                          capture_output=True, text=True)
-    assert done.returncode == 2 and "n0: no keeper has told of itself" in done.stderr
+    done = subprocess.run(
+        [*cli, "rollout", "--at", str(tmp_path / "r"), "start", str(path), "--why", "w"],
+        capture_output=True,
+        text=True,
+    )
+    assert done.returncode == 2 and "n0: no supervisor has told of itself" in done.stderr
     done = subprocess.run([*cli, "keep", str(path)], capture_output=True, text=True)
     assert done.returncode == 2 and "programs" in done.stderr and "Traceback" not in done.stderr
-    done = subprocess.run([*cli, "rollout", "--at", str(tmp_path / "r"), "go"], capture_output=True,
-                          text=True)
+    done = subprocess.run(
+        [*cli, "rollout", "--at", str(tmp_path / "r"), "go"], capture_output=True, text=True
+    )
     assert done.returncode == 3 and "no rollout is under way" in done.stderr
--- a/wheatroute/agreement/adapter.py
+++ b/wheatroute/agreement/adapter.py
@@ -11,7 +11,7 @@
 from typing import Any, NamedTuple
 
 from wheatroute import words
-from wheatroute.agreement import meeting
+from wheatroute.agreement import joint_terms
 from wheatroute.agreement.member import Acts
 from wheatroute.agreement.versions import ContentError
 from wheatroute.interface import Effect
@@ -45,21 +45,23 @@
 
     def check(self, number: int, content: Any) -> str:
         """A line that says why this process cannot use a version; empty if it can."""
-        if not isinstance(content, dict) or not content or set(content) - set(meeting.PARTS):
+        if not isinstance(content, dict) or not content or set(content) - set(joint_terms.PARTS):
             return "a version has the parts settings and file, and nothing else that this program knows"
         try:
             known = self._settle(content)
         except ContentError as trouble:
             return str(trouble)
         own, own_classes = self._own["terms"], self._own["request_classes"]
-        for name, rule in meeting.TERMS.items():
-            if rule == meeting.FIXED and known["terms"].get(name) != own.get(name):
-                return f"{name}: {meeting.FIXED}, and is {own.get(name)!r} here"
+        for name, rule in joint_terms.TERMS.items():
+            if rule == joint_terms.FIXED and known["terms"].get(name) != own.get(name):
+                return f"{name}: {joint_terms.FIXED}, and is {own.get(name)!r} here"
         for name in own_classes.keys() & known["request_classes"].keys():
-            streamed = [one["terms"]["request_classes"][one["request_classes"][name]]["streamed"]
-                        for one in (self._own, known)]
+            streamed = [
+                one["terms"]["request_classes"][one["request_classes"][name]]["streamed"]
+                for one in (self._own, known)
+            ]
             if streamed[0] != streamed[1]:
-                return f"{name}.streamed: {meeting.FIXED}, and is {streamed[0]!r} here"
+                return f"{name}.streamed: {joint_terms.FIXED}, and is {streamed[0]!r} here"
         self._known[number] = known
         return ""
 
@@ -74,8 +76,12 @@
         if len(terms["request_classes"]) < len(self._classes):
             terms = self._within(versions, acts.careful)  # with the twins that forms wanted
         names = self._known[acts.in_force]
-        return AdaptedVersion({name: self._classes[name] for name in names["request_classes"]},
-                      {name: self._tenants[name] for name in names["tenants"]}, terms, forms)
+        return AdaptedVersion(
+            {name: self._classes[name] for name in names["request_classes"]},
+            {name: self._tenants[name] for name in names["tenants"]},
+            terms,
+            forms,
+        )
 
     def _number(self, version: int) -> None:
         known = self._known[version]
@@ -88,24 +94,31 @@
     def _within(self, versions: list[int], careful: bool) -> dict[str, Any]:
         terms = self._terms(versions[0])
         for number in versions[1:]:
-            terms = meeting.meet(terms, self._terms(number))
-        return meeting.careful(terms) if careful else terms
+            terms = joint_terms.joined(terms, self._terms(number))
+        return joint_terms.careful(terms) if careful else terms
 
     def _terms(self, version: int) -> dict[str, Any]:
         """A version's terms in this node's numbering."""
         known, own = self._known[version], self._own["terms"]
-        terms = known["terms"] | {name: own[name] for name, rule in meeting.TERMS.items()
-                                  if rule in (meeting.OWN, meeting.FIXED) and name in own}
+        terms = known["terms"] | {
+            name: own[name]
+            for name, rule in joint_terms.TERMS.items()
+            if rule in (joint_terms.OWN, joint_terms.FIXED) and name in own
+        }
         kinds, tenants = [], []
         for name in self._classes:
             there, base = known["request_classes"].get(name.removesuffix("\0strict")), self._seen
-            kind = (known["terms"]["request_classes"][there] if there is not None
-                    else base[name.removesuffix("\0strict")] | meeting.ABSENT_CLASS)
+            kind = (
+                known["terms"]["request_classes"][there]
+                if there is not None
+                else base[name.removesuffix("\0strict")] | joint_terms.ABSENT_CLASS
+            )
             kinds.append(kind | {"effect": Effect.UNSAFE} if name.endswith("\0strict") else kind)
         for name in self._tenants:
             there = known["tenants"].get(name)
-            tenants.append(known["terms"]["tenants"][there] if there is not None
-                             else dict(meeting.ABSENT_TENANT))
+            tenants.append(
+                known["terms"]["tenants"][there] if there is not None else dict(joint_terms.ABSENT_TENANT)
+            )
         return terms | {"request_classes": kinds, "tenants": tenants}
 
     def _forms(self, versions: list[int], terms: dict[str, Any]) -> Forms:
@@ -114,9 +127,13 @@
         for name, number in list(self._classes.items()):
             if name.endswith("\0strict"):
                 continue
-            effects = {self._known[one]["terms"]["request_classes"][self._known[one]["request_classes"][name]]
-                       ["effect"] for one in {*versions, *self._past}
-                       if name in self._known[one]["request_classes"]}
+            effects = {
+                self._known[one]["terms"]["request_classes"][self._known[one]["request_classes"][name]][
+                    "effect"
+                ]
+                for one in {*versions, *self._past}
+                if name in self._known[one]["request_classes"]
+            }
             now = terms["request_classes"][number]["effect"]
             others = effects - {now}
             if others:
@@ -128,21 +145,26 @@
 
 def platform(boot: dict[str, Any]) -> Settle:
     """Makes of a version what the platform's node acts on, whose boot data these are."""
+
     def settle(content: dict[str, Any]) -> dict[str, Any]:
         if "settings" not in content:
             return boot
         told = content["settings"]
-        found = meeting.troubles(told)
+        found = joint_terms.troubles(told)
         if found:
             raise ContentError(found[0] + (f" (and {len(found) - 1} more)" if len(found) > 1 else ""))
         whole = {key: dict(one) if isinstance(one, dict) else one for key, one in told.items()}
-        for path, rule in meeting.PATHS.items():  # what is this node's own, or changes with a restart only
-            if rule in (meeting.OWN, meeting.FIXED):
-                _carry(boot["settings"], whole, path.split("."), rule == meeting.OWN)
+        for (
+            path,
+            rule,
+        ) in joint_terms.PATHS.items():  # what is this node's own, or changes with a restart only
+            if rule in (joint_terms.OWN, joint_terms.FIXED):
+                _carry(boot["settings"], whole, path.split("."), rule == joint_terms.OWN)
         try:
             return boot_data.settled(whole)
         except boot_data.BootError as trouble:
             raise ContentError(str(trouble)) from trouble
+
     return settle
 
 
--- a/wheatroute/agreement/etcd.py
+++ b/wheatroute/agreement/etcd.py
@@ -23,8 +23,9 @@
 class EtcdPlace:
     """A place under a prefix. `run` keeps the connections; asking before it runs waits for one."""
 
-    def __init__(self, endpoints: list[tuple[str, int]], prefix: str, chance: random.Random,
-                 time_out: float = PATIENCE) -> None:
+    def __init__(
+        self, endpoints: list[tuple[str, int]], prefix: str, chance: random.Random, time_out: float = PATIENCE
+    ) -> None:
         self._cluster, self._time_out = Cluster(endpoints, chance), time_out
         self._log, self._nodes = f"{prefix}/log/".encode(), f"{prefix}/nodes/".encode()
         self._about = f"{prefix}/words/".encode()
@@ -46,8 +47,11 @@
             first, end = self._key(max(1, after)), wire.end_of(self._log)
             asked = [wire.RangeRequest(key=first, range_end=end, limit=MOST + 1)]
             if row is not None:
-                asked.append(wire.RangeRequest(key=self._about, range_end=wire.end_of(self._about),
-                                               min_mod_revision=self._heard + 1))
+                asked.append(
+                    wire.RangeRequest(
+                        key=self._about, range_end=wire.end_of(self._about), min_mod_revision=self._heard + 1
+                    )
+                )
             # one transaction, which nothing is written by: both as of one revision, and one question
             whole = wire.TxnRequest(success=[wire.RequestOp(request_range=one) for one in asked])
             answer = await self._call("Txn", whole, wire.TxnResponse)
--- a/wheatroute/agreement/explore.py
+++ b/wheatroute/agreement/explore.py
@@ -75,11 +75,19 @@
         member = self.member
         seen, since = member._put_seen
         pending = member.history.pending
-        return (self.lives, member.history.mark, member.acts.in_force, member.acts.joint, member.acts.careful,
-                len(member.unusable), max(0.0, member.until - now),
-                -99 if self.sent is None else max(far, self.sent - now), self.fresh,
-                "" if self.adds is None else short(self.adds),
-                max(far, since - now) if pending and seen == pending else 99)
+        return (
+            self.lives,
+            member.history.mark,
+            member.acts.in_force,
+            member.acts.joint,
+            member.acts.careful,
+            len(member.unusable),
+            max(0.0, member.until - now),
+            -99 if self.sent is None else max(far, self.sent - now),
+            self.fresh,
+            "" if self.adds is None else short(self.adds),
+            max(far, since - now) if pending and seen == pending else 99,
+        )
 
 
 def _copy(one: Any) -> Any:
@@ -101,8 +109,7 @@
 
     def copy(self, only: int) -> World:
         """A state whose one process may be changed."""
-        other = World(self.now, self.records, dict(self.rows), list(self.processes), self.puts,
-                      self.deaths)
+        other = World(self.now, self.records, dict(self.rows), list(self.processes), self.puts, self.deaths)
         if only >= 0:
             other.processes[only] = self.processes[only].copy()
         return other
@@ -124,8 +131,9 @@
 class Explorer:
     """Breadth first, so that a story is a shortest one. `make` gives a member; faults are put in there."""
 
-    def __init__(self, bounds: Bounds, make: Maker = Member, overwrites: bool = False,
-                 reads_first: bool = False) -> None:
+    def __init__(
+        self, bounds: Bounds, make: Maker = Member, overwrites: bool = False, reads_first: bool = False
+    ) -> None:
         self.bounds, self._make = bounds, make
         self._overwrites, self._reads_first = overwrites, reads_first
 
@@ -219,7 +227,7 @@
 
     def _take(self, world: World, process: Process, i: int) -> None:
         member = process.member
-        new = list(world.records[member.history.head:])
+        new = list(world.records[member.history.head :])
         if new:
             member.history = member.history.copy()
         assert process.sent is not None
@@ -243,7 +251,7 @@
         if process.adds["seq"] == len(world.records) + 1:
             after.records = (*world.records, process.adds)
         elif self._overwrites:
-            after.records = (*world.records[:process.adds["seq"] - 1], process.adds)
+            after.records = (*world.records[: process.adds["seq"] - 1], process.adds)
         process.adds = None
         return after
 
@@ -275,14 +283,23 @@
                 within = mine if within is None else within & mine
         if within is not None and not within:
             return "no version allows what all may do: " + "; ".join(
-                f"n{i} " + ("careful" if one.careful else f"on {one.in_force}"
-                            + (f" within {one.joint}" if one.joint else "")) for i, one in enumerate(told))
+                f"n{i} "
+                + (
+                    "careful"
+                    if one.careful
+                    else f"on {one.in_force}" + (f" within {one.joint}" if one.joint else "")
+                )
+                for i, one in enumerate(told)
+            )
         for i, (old, new) in enumerate(zip(before.processes, world.processes, strict=True)):
             if new.lives == old.lives and new.member.acts.in_force < old.member.acts.in_force:
                 return f"n{i} went back from {old.member.acts.in_force} to {new.member.acts.in_force}"
         for record in world.records:
-            refused = [i for i, version in self.bounds.refuses
-                       if record["kind"] == FORCE and record["version"] == version]
+            refused = [
+                i
+                for i, version in self.bounds.refuses
+                if record["kind"] == FORCE and record["version"] == version
+            ]
             if refused and not self.bounds.deaths and not self.bounds.steps:
                 return f"version {record['version']} is in force, which n{refused[0]} cannot use"
         return ""
@@ -290,11 +307,24 @@
     def _key(self, world: World) -> Any:
         """What tells two states apart for all that is to come; times count from now, names do not count."""
         now, far = world.now, -self.bounds.lasts
-        rows = {key: (row["seq"], row["acts"][0], row["acts"][1], row["careful"], row["refuses"])
-                for key, row in world.rows.items()}
-        processes = [(one.look(now, far)[2], rows.pop(one.member.key, ()),
-                      i if self.bounds.refuses or i < self.bounds.judges < 9 else 99)
-                     for i, one in enumerate(world.processes)]
+        rows = {
+            key: (row["seq"], row["acts"][0], row["acts"][1], row["careful"], row["refuses"])
+            for key, row in world.rows.items()
+        }
+        processes = [
+            (
+                one.look(now, far)[2],
+                rows.pop(one.member.key, ()),
+                i if self.bounds.refuses or i < self.bounds.judges < 9 else 99,
+            )
+            for i, one in enumerate(world.processes)
+        ]
         processes.sort()
-        return (self.bounds.steps - now, short(world.records[-1]) if world.records else "",
-                tuple(sorted(rows.values())), tuple(processes), world.puts, world.deaths)
+        return (
+            self.bounds.steps - now,
+            short(world.records[-1]) if world.records else "",
+            tuple(sorted(rows.values())),
+            tuple(processes),
+            world.puts,
+            world.deaths,
+        )
--- a/wheatroute/agreement/following.py
+++ b/wheatroute/agreement/following.py
@@ -50,10 +50,18 @@
 class Following(trio.abc.Instrument):
     """One process's. `apply(adapted, binding)` has the front act on something, at once."""
 
-    def __init__(self, place: Place, member: Member, adapter: Adapts,
-                 apply: Callable[[AdaptedVersion, bool], None], settle: Callable[[], None],
-                 listed: Callable[[], tuple[str, int]], log: Any, leaving: Leaving | None = None,
-                 heed: Callable[[list[dict[str, Any]]], None] = lambda servers: None) -> None:
+    def __init__(
+        self,
+        place: Place,
+        member: Member,
+        adapter: Adapts,
+        apply: Callable[[AdaptedVersion, bool], None],
+        settle: Callable[[], None],
+        listed: Callable[[], tuple[str, int]],
+        log: Any,
+        leaving: Leaving | None = None,
+        heed: Callable[[list[dict[str, Any]]], None] = lambda servers: None,
+    ) -> None:
         self._listed, self._leaving, self._hear = listed, leaving, heed
         self._look_at = 0.0
         self._place, self._member, self._adapter, self._log = place, member, adapter, log
@@ -85,8 +93,11 @@
         if acts == before and self._said:
             return False
         # what only loosens leaves requests the rules that they were taken under
-        looser = (not acts.careful and acts.joint in (before.joint, 0)
-                  and acts.in_force in (before.in_force, before.joint))
+        looser = (
+            not acts.careful
+            and acts.joint in (before.joint, 0)
+            and acts.in_force in (before.in_force, before.joint)
+        )
         self._apply(self._adapter.adapt(acts), not looser)
         self._member.acting(acts)
         self._say(acts)
@@ -95,8 +106,14 @@
     def _say(self, acts: Acts) -> None:
         phase = "careful" if acts.careful else "joint" if acts.joint else "in force"
         self._said = phase
-        self._log.info("settings", phase=phase, version=acts.in_force, joint=acts.joint,
-                       record=self._member.history.head, trouble=self._member.trouble)
+        self._log.info(
+            "settings",
+            phase=phase,
+            version=acts.in_force,
+            joint=acts.joint,
+            record=self._member.history.head,
+            trouble=self._member.trouble,
+        )
 
     # questions
 
@@ -177,8 +194,12 @@
         await trio.sleep(min(1.0, rank * self._pause / ASKS))
         added = await self._place.add(record)
         if added:
-            self._log.info("settings-judged", kind=record["kind"], version=record["version"],
-                           reason=record.get("reason", ""))
+            self._log.info(
+                "settings-judged",
+                kind=record["kind"],
+                version=record["version"],
+                reason=record.get("reason", ""),
+            )
             await self._place.drop(member.gone(began, rows))
         return True
 
--- a/wheatroute/agreement/meeting.py
+++ b/wheatroute/agreement/joint_terms.py
@@ -1,8 +1,8 @@
 """What two processes may do while one acts on one version and another on the next. Free of I/O.
 
-Owns a table with a line for every key that the module or a front acts on, and the meeting of two versions:
-what lies within both. It must never loosen anything: of two unlike values the stricter one counts, and a key
-with no meeting point says how it changes instead.
+Owns a table with a line for every key that the module or a front acts on, and the terms of two versions
+joined: what lies within both. It must never loosen anything: of two unlike values the stricter one counts,
+and a key that can't be joined says how it changes instead.
 """
 
 from __future__ import annotations
@@ -21,34 +21,110 @@
 ROUTE = "the old one until the new one is in force: who asks too early or late is refused unharmed"
 
 TERMS = {
-    "nodes": MOST, "node": OWN, "tick": FIXED, "tier": FIXED, "tiers": FIXED, "zones": FIXED, "zone": OWN,
-    "hedges": BOTH, "withdrawals": FREE, "probes": BOTH, "peers": OWN, "refusal_advice": FREE,
-    "longest_advice": LEAST, "most_attempts": LEAST, "connect_within": FREE, "idle_closed": LEAST,
-    "calls_per_connection": FIXED, "most_open": FREE, "excess_worth": FREE, "time_left_passed_on": FIXED,
-    "connection_price": FREE, "crossing_price": FREE, "waste_price": FREE, "late_price": FREE,
-    "report_how": FIXED, "reported": FIXED, "work_counts": FREE, "list_on_request": FIXED, "large": OWN,
-    "answer_slack": LEAST, "ask_within": LEAST, "cold_time": MOST, "cold_share": LEAST, "drain_grace": LEAST,
-    "fall_span": LEAST, "fall_multiple": LEAST,
+    "nodes": MOST,
+    "node": OWN,
+    "tick": FIXED,
+    "tier": FIXED,
+    "tiers": FIXED,
+    "zones": FIXED,
+    "zone": OWN,
+    "hedges": BOTH,
+    "withdrawals": FREE,
+    "probes": BOTH,
+    "peers": OWN,
+    "refusal_advice": FREE,
+    "longest_advice": LEAST,
+    "most_attempts": LEAST,
+    "connect_within": FREE,
+    "idle_closed": LEAST,
+    "calls_per_connection": FIXED,
+    "most_open": FREE,
+    "excess_worth": FREE,
+    "time_left_passed_on": FIXED,
+    "connection_price": FREE,
+    "crossing_price": FREE,
+    "waste_price": FREE,
+    "late_price": FREE,
+    "report_how": FIXED,
+    "reported": FIXED,
+    "work_counts": FREE,
+    "list_on_request": FIXED,
+    "large": OWN,
+    "answer_slack": LEAST,
+    "ask_within": LEAST,
+    "cold_time": MOST,
+    "cold_share": LEAST,
+    "drain_grace": LEAST,
+    "fall_span": LEAST,
+    "fall_multiple": LEAST,
 }
 # the TOML file, by table: what a version's part for it holds, and what each process keeps to itself
 FILE = {
-    "File": {"name": OWN, "seed": OWN, "nodes": MOST, "node": OWN, "pools": OWN, "traffic_types": STRICT,
-             "customers": LEAST, "processor": OWN, "snapshot": OWN, "agreement": OWN},
-    "RequestClass": {"name": ROUTE, "effect": STRICT, "paths": ROUTE, "methods": ROUTE, "hard_stop": LEAST,
-                    "target_time": LEAST, "utility": FREE, "late_utility": FREE, "group": STRICT,
-                    "repeat_window": LEAST},
+    "File": {
+        "name": OWN,
+        "seed": OWN,
+        "nodes": MOST,
+        "node": OWN,
+        "pools": OWN,
+        "traffic_types": STRICT,
+        "customers": LEAST,
+        "processor": OWN,
+        "snapshot": OWN,
+        "agreement": OWN,
+    },
+    "RequestClass": {
+        "name": ROUTE,
+        "effect": STRICT,
+        "paths": ROUTE,
+        "methods": ROUTE,
+        "hard_stop": LEAST,
+        "target_time": LEAST,
+        "utility": FREE,
+        "late_utility": FREE,
+        "group": STRICT,
+        "repeat_window": LEAST,
+    },
     "Tenant": {"name": ROUTE, "rate": LEAST},
-    "Rules": {"cold_time": MOST, "cold_share": LEAST, "drain_grace": LEAST, "fall_span": LEAST,
-              "fall_multiple": LEAST, "answer_slack": LEAST},
+    "Rules": {
+        "cold_time": MOST,
+        "cold_share": LEAST,
+        "drain_grace": LEAST,
+        "fall_span": LEAST,
+        "fall_multiple": LEAST,
+        "answer_slack": LEAST,
+    },
 }
 # the platform's file beside its settings: none of it is in a version
-BOOT = {name: OWN for name in ("name", "listen", "discovery", "seed", "limits", "known", "settings", "peers",
-                               "work_header", "agreement", "servers", "rollout",
-                               "beside")}
+BOOT = {
+    name: OWN
+    for name in (
+        "name",
+        "listen",
+        "discovery",
+        "seed",
+        "limits",
+        "known",
+        "settings",
+        "peers",
+        "work_header",
+        "agreement",
+        "servers",
+        "rollout",
+        "beside",
+    )
+}
 # effects and groups are numbered from the loosest to the strictest, so the larger one binds
 REQUEST_CLASS = {
-    "effect": STRICT, "group": STRICT, "repeat_window": LEAST, "target_latency": LEAST, "deadline": LEAST,
-    "stretch": FREE, "worth": FREE, "late_worth": FREE, "streamed": FIXED, "paths": ROUTE,
+    "effect": STRICT,
+    "group": STRICT,
+    "repeat_window": LEAST,
+    "target_latency": LEAST,
+    "deadline": LEAST,
+    "stretch": FREE,
+    "worth": FREE,
+    "late_worth": FREE,
+    "streamed": FIXED,
+    "paths": ROUTE,
     "methods": ROUTE,
 }
 TENANT = {"quota": LEAST, "portion": FREE}
@@ -59,31 +135,57 @@
 FILE_KEYS = ("nodes", "traffic_types", "customers", "rules")  # of its part for the TOML file
 
 _PICK: dict[str, Callable[[Any, Any], Any]] = {
-    LEAST: min, MOST: max, STRICT: max, BOTH: lambda old, new: old and new}
+    LEAST: min,
+    MOST: max,
+    STRICT: max,
+    BOTH: lambda old, new: old and new,
+}
 
 # the settings' other keys, by what becomes of them under our names
-_MORE = {"zone": OWN, "dcs": FIXED, "skus": FIXED, "tiers": FIXED, "membership-mode": FIXED,
-         "report.fields": FIXED, "utility-basis": FREE}
+_MORE = {
+    "zone": OWN,
+    "dcs": FIXED,
+    "skus": FIXED,
+    "tiers": FIXED,
+    "membership-mode": FIXED,
+    "report.fields": FIXED,
+    "utility-basis": FREE,
+}
 PATHS = {path: TERMS[name] for name, (path, _) in words.TERMS.items()} | _MORE
-CLASS_KEYS = {"name", "effect", "group", "target-time", "hard-stop", "aim-stretch", "utility",
-             "overdue-utility", "repeat-window", "streamed"}
+CLASS_KEYS = {
+    "name",
+    "effect",
+    "group",
+    "target-time",
+    "hard-stop",
+    "aim-stretch",
+    "utility",
+    "overdue-utility",
+    "repeat-window",
+    "streamed",
+}
 TENANT_KEYS = {"name", "portion", "quota-rps"}
 
 
-def meet(old: Mapping[str, Any], new: Mapping[str, Any]) -> dict[str, Any]:
+def joined(old: Mapping[str, Any], new: Mapping[str, Any]) -> dict[str, Any]:
     """Terms within both; their classes and tenants stand under the same numbers in both."""
-    out = _meet(TERMS, old, new)
+    out = _joined(TERMS, old, new)
     out["request_classes"] = [
-        _meet(REQUEST_CLASS, one, other)
-        for one, other in zip(old["request_classes"], new["request_classes"], strict=True)]
-    out["tenants"] = [_meet(TENANT, one, other)
-                        for one, other in zip(old["tenants"], new["tenants"], strict=True)]
+        _joined(REQUEST_CLASS, one, other)
+        for one, other in zip(old["request_classes"], new["request_classes"], strict=True)
+    ]
+    out["tenants"] = [
+        _joined(TENANT, one, other) for one, other in zip(old["tenants"], new["tenants"], strict=True)
+    ]
     return out
 
 
-def _meet(table: Mapping[str, str], old: Mapping[str, Any], new: Mapping[str, Any]) -> dict[str, Any]:
-    return {key: _PICK[table[key]](value, new[key]) if table[key] in _PICK else value
-            for key, value in old.items() if key in table}
+def _joined(table: Mapping[str, str], old: Mapping[str, Any], new: Mapping[str, Any]) -> dict[str, Any]:
+    return {
+        key: _PICK[table[key]](value, new[key]) if table[key] in _PICK else value
+        for key, value in old.items()
+        if key in table
+    }
 
 
 def careful(terms: Mapping[str, Any]) -> dict[str, Any]:
@@ -92,9 +194,15 @@
     Nothing goes out again unless it provably never ran, nothing that may have run is refused, nothing is
     hedged, and cold servers get a quarter. A first attempt is as harmless as it was.
     """
-    return {**terms, "hedges": False, "fall_multiple": terms["fall_multiple"] * COLD_WHEN_CAREFUL,
-            "request_classes": [kind | {"harmless": kind["effect"] == Effect.SAFE, "effect": Effect.UNSAFE}
-                              for kind in terms["request_classes"]]}
+    return {
+        **terms,
+        "hedges": False,
+        "fall_multiple": terms["fall_multiple"] * COLD_WHEN_CAREFUL,
+        "request_classes": [
+            kind | {"harmless": kind["effect"] == Effect.SAFE, "effect": Effect.UNSAFE}
+            for kind in terms["request_classes"]
+        ],
+    }
 
 
 def contradictions(old: Mapping[str, Any], new: Mapping[str, Any]) -> list[tuple[str, Any, Any, str]]:
@@ -115,8 +223,14 @@
         table = {"traffic_types": "RequestClass", "customers": "Tenant", "rules": "Rules"}.get(first, "File")
         return FILE[table].get(key.rsplit(".", 1)[-1] or first, "unknown")
     if path.startswith("traffic-types."):
-        name = {"target-time": "target_latency", "hard-stop": "deadline", "aim-stretch": "stretch",
-                "utility": "worth", "overdue-utility": "late_worth", "repeat-window": "repeat_window"}
+        name = {
+            "target-time": "target_latency",
+            "hard-stop": "deadline",
+            "aim-stretch": "stretch",
+            "utility": "worth",
+            "overdue-utility": "late_worth",
+            "repeat-window": "repeat_window",
+        }
         key = path.rsplit(".", 1)[1]
         return ROUTE if path.endswith(".name") else REQUEST_CLASS[name.get(key, key)]
     if path.startswith("tenants."):
@@ -127,8 +241,11 @@
 
 def _paths(told: Any, before: str = "") -> dict[str, Any]:
     if isinstance(told, dict):
-        return {path: value for key, one in told.items()
-                for path, value in _paths(one, f"{before}.{key}" if before else str(key)).items()}
+        return {
+            path: value
+            for key, one in told.items()
+            for path, value in _paths(one, f"{before}.{key}" if before else str(key)).items()
+        }
     if isinstance(told, list) and told and all(isinstance(one, dict) and "name" in one for one in told):
         return {path: value for one in told for path, value in _paths(one, f"{before}.{one['name']}").items()}
     return {before: told}
@@ -141,17 +258,28 @@
     out = []
     for key, known in (("traffic-types", CLASS_KEYS), ("tenants", TENANT_KEYS)):
         told = settings.get(key, [])
-        if not isinstance(told, list) or not all(isinstance(one, dict) and isinstance(one.get("name"), str)
-                                                 for one in told):
+        if not isinstance(told, list) or not all(
+            isinstance(one, dict) and isinstance(one.get("name"), str) for one in told
+        ):
             out.append(f"settings.{key}: is no list of tables with names")
             continue
         names = [one["name"] for one in told]
-        out += [f"settings.{key}: two of the name {name!r}" for name in sorted(set(names))
-                if names.count(name) > 1]
-        out += [f"settings.{key}.{one['name']}.{name}: is no key that this program knows"
-                for one in told for name in sorted(one.keys() - known)]
-        out += [f"settings.{key}.{one['name']}.{name}: {trouble}" for one in told
-                for name, value in sorted(one.items()) if (trouble := _unfit(name, value))]
+        out += [
+            f"settings.{key}: two of the name {name!r}"
+            for name in sorted(set(names))
+            if names.count(name) > 1
+        ]
+        out += [
+            f"settings.{key}.{one['name']}.{name}: is no key that this program knows"
+            for one in told
+            for name in sorted(one.keys() - known)
+        ]
+        out += [
+            f"settings.{key}.{one['name']}.{name}: {trouble}"
+            for one in told
+            for name, value in sorted(one.items())
+            if (trouble := _unfit(name, value))
+        ]
     rest = {key: one for key, one in settings.items() if key not in ("traffic-types", "tenants")}
     for path, value in _paths(rest).items():
         if path not in PATHS:
@@ -163,18 +291,29 @@
     return out
 
 
-_NUMBERS = {path for path, default in words.TERMS.values()
-            if isinstance(default, int | float) and not isinstance(default, bool)} | {
-    "target-time", "hard-stop", "aim-stretch", "utility", "overdue-utility", "repeat-window", "portion",
-    "quota-rps"}
+_NUMBERS = {
+    path
+    for path, default in words.TERMS.values()
+    if isinstance(default, int | float) and not isinstance(default, bool)
+} | {
+    "target-time",
+    "hard-stop",
+    "aim-stretch",
+    "utility",
+    "overdue-utility",
+    "repeat-window",
+    "portion",
+    "quota-rps",
+}
 _YES_OR_NO = {path for path, default in words.TERMS.values() if isinstance(default, bool)} | {"streamed"}
 _ONE_OF: dict[str, list[str]] = {"effect": list(words.EFFECTS), "group": list(words.GROUPS)}
 
 
 def _unfit(path: str, value: Any) -> str:
     """Why a value cannot be that of a key; a version must not break what it reaches."""
-    if path in _NUMBERS and (isinstance(value, bool) or not isinstance(value, int | float)
-                             or not 0.0 <= value < inf):
+    if path in _NUMBERS and (
+        isinstance(value, bool) or not isinstance(value, int | float) or not 0.0 <= value < inf
+    ):
         return f"is no number from 0 on: {value!r}"
     if path == "hard-stop" and not value:
         return "is 0"
--- a/wheatroute/agreement/leaving.py
+++ b/wheatroute/agreement/leaving.py
@@ -26,8 +26,13 @@
 
 def readable(word: Any) -> bool:
     """Whether a word has the form that this program knows."""
-    return (isinstance(word, dict) and isinstance(word.get("id"), str) and isinstance(word.get("turn"), int)
-            and isinstance(word.get("leaves"), bool) and isinstance(word.get("started"), int | float))
+    return (
+        isinstance(word, dict)
+        and isinstance(word.get("id"), str)
+        and isinstance(word.get("turn"), int)
+        and isinstance(word.get("leaves"), bool)
+        and isinstance(word.get("started"), int | float)
+    )
 
 
 class Leaving:
@@ -89,8 +94,11 @@
 
     @staticmethod
     def _good(one: Any) -> bool:
-        return (isinstance(one, dict) and isinstance(one.get("id"), str)
-                and isinstance(one.get("started_ms", 0), int | float))
+        return (
+            isinstance(one, dict)
+            and isinstance(one.get("id"), str)
+            and isinstance(one.get("started_ms", 0), int | float)
+        )
 
     def _note(self, one: Entry) -> None:
         """An entry of the own list, and what it means for others."""
--- a/wheatroute/agreement/member.py
+++ b/wheatroute/agreement/member.py
@@ -67,12 +67,21 @@
         """What it tells the others; `moment` is Unix time, for people only."""
         self._beat += 1
         pending = self.history.pending
-        return {"name": self.name, "start": self.start, "beat": self._beat, "seq": self.history.head,
-                "acts": [self.acts.in_force, self.acts.joint], "careful": self.acts.careful,
-                "refuses": pending if pending in self.unusable else 0,
-                "reason": self.unusable.get(pending) or self.unusable.get(self.history.in_force, "")
-                or (self.trouble if self.acts.careful else ""),
-                "lasts": self.lasts, "list": list(self.listed), "at": moment}
+        return {
+            "name": self.name,
+            "start": self.start,
+            "beat": self._beat,
+            "seq": self.history.head,
+            "acts": [self.acts.in_force, self.acts.joint],
+            "careful": self.acts.careful,
+            "refuses": pending if pending in self.unusable else 0,
+            "reason": self.unusable.get(pending)
+            or self.unusable.get(self.history.in_force, "")
+            or (self.trouble if self.acts.careful else ""),
+            "lasts": self.lasts,
+            "list": list(self.listed),
+            "at": moment,
+        }
 
     def answered(self, sent: float, records: list[dict[str, Any]], whole: bool = True) -> None:
         """A question sent at that moment was answered, with the records after this history's head.
@@ -132,11 +141,13 @@
             self._put_seen = (pending, ended)
         for row in rows:
             if row["refuses"] == pending:
-                return history.next(WITHDRAW, version=pending, by=self.name,
-                                    reason=f"{row['name']}: {row['reason']}")
+                return history.next(
+                    WITHDRAW, version=pending, by=self.name, reason=f"{row['name']}: {row['reason']}"
+                )
         mine = any(row["name"] == self.name and row["start"] == self.start for row in rows)
-        heard = all(row["seq"] >= history.put_at and (row["careful"] or row["acts"][1] == pending)
-                    for row in rows)
+        heard = all(
+            row["seq"] >= history.put_at and (row["careful"] or row["acts"][1] == pending) for row in rows
+        )
         longest = max([self.lasts, *(row["lasts"] for row in rows)])
         if heard and mine or began - self._put_seen[1] >= longest * (1.0 + self.drift):
             return history.next(FORCE, version=pending, by=self.name)
@@ -149,8 +160,11 @@
 
     def gone(self, began: float, rows: list[dict[str, Any]]) -> list[str]:
         """Keys of rows that stood still for so long that nobody needs them."""
-        return [f"{row['name']}.{row['start']}" for row in rows
-                if began - self._seen.get(f"{row['name']}.{row['start']}", (0, inf))[1] > IDLE * row["lasts"]]
+        return [
+            f"{row['name']}.{row['start']}"
+            for row in rows
+            if began - self._seen.get(f"{row['name']}.{row['start']}", (0, inf))[1] > IDLE * row["lasts"]
+        ]
 
     def _watch(self, ended: float, rows: list[dict[str, Any]]) -> None:
         seen = {}
--- a/wheatroute/agreement/node.py
+++ b/wheatroute/agreement/node.py
@@ -23,16 +23,20 @@
     """The place that a file names; `time_out` is for one endpoint, seconds."""
     if "relay" in told:
         from wheatroute.agreement.relay import Relayed
+
         return Relayed(told["relay"])
     if "directory" in told:
         return Directory(told["directory"])
     from wheatroute.agreement.etcd import EtcdPlace
+
     return EtcdPlace(told["etcd"], told["prefix"], chance, time_out)
 
 
-def follow(boot: dict[str, Any], rounds: Rounds, servers: Servers, clients: Clients, discovery: Discovery,
-           log: Any) -> Following:
+def follow(
+    boot: dict[str, Any], rounds: Rounds, servers: Servers, clients: Clients, discovery: Discovery, log: Any
+) -> Following:
     """Has a node act on what all agree on; it is careful until it was confirmed for the first time."""
+
     def apply(adapted: AdaptedVersion, binding: bool) -> None:
         terms = adapted.terms | discovery.counted  # nodes that are counted go before a number that was put
         rounds.agree(terms, binding)
@@ -45,5 +49,14 @@
     leaving.listed(boot["known"])
     member = Member(boot["name"], start, told["within"])
     where = place(told, random.Random(start), PATIENCE * member.lasts / ENDPOINTS)
-    return Following(where, member, VersionAdapter(boot, platform(boot)), apply, rounds.settle,
-                     lambda: discovery.acted_on, log, leaving, discovery.heed)
+    return Following(
+        where,
+        member,
+        VersionAdapter(boot, platform(boot)),
+        apply,
+        rounds.settle,
+        lambda: discovery.acted_on,
+        log,
+        leaving,
+        discovery.heed,
+    )
--- a/wheatroute/agreement/operator.py
+++ b/wheatroute/agreement/operator.py
@@ -18,7 +18,7 @@
 
 import trio
 
-from wheatroute.agreement import meeting
+from wheatroute.agreement import joint_terms
 from wheatroute.agreement.places import Directory, Place, PlaceError, opened
 from wheatroute.agreement.versions import ContentError, History, HistoryError, Version, canonical
 from wheatroute.net import boot
@@ -48,6 +48,7 @@
     except ValueError as trouble:
         raise OperatorError(f"{text}: {trouble}", 2) from trouble
     from wheatroute.agreement.etcd import EtcdPlace
+
     return EtcdPlace(places, f"/{prefix}" if prefix else "/wheatroute", random.Random(), time_out)
 
 
@@ -58,6 +59,7 @@
     async def main() -> Found:
         async with opened(place):
             return await what(place)
+
     try:
         return trio.run(main)
     except BaseExceptionGroup as group:
@@ -93,6 +95,7 @@
 
 # contents
 
+
 def content_of(path: str) -> tuple[dict[str, Any], list[str]]:
     """A version's content from a file, JSON or TOML, and the keys left out as each process has its own."""
     try:
@@ -106,9 +109,9 @@
         return {"file": _file(path)}, []
     settings = told.get("settings") if isinstance(told, dict) else None
     if not isinstance(settings, dict):
-        raise OperatorError(f"{path}: holds no table \"settings\", nor the request classes of a TOML file", 2)
-    settings, left = meeting.without_own(settings)
-    found = meeting.troubles(settings)
+        raise OperatorError(f'{path}: holds no table "settings", nor the request classes of a TOML file', 2)
+    settings, left = joint_terms.without_own(settings)
+    found = joint_terms.troubles(settings)
     if not found:
         try:
             boot.settled(settings)
@@ -123,19 +126,25 @@
 def _file(path: str) -> dict[str, Any]:
     """The part of a front's TOML file that all processes share."""
     from wheatroute import config
+
     try:
         told = config.read(path)
     except config.ConfigError as trouble:
         raise OperatorError(str(trouble), 2) from trouble
-    rules = [pool.rules for pool in told.pools
-             if told.processor is None or pool.name == told.processor.pool][0]
-    return {"nodes": told.nodes, "rules": rules.model_dump(),
-            "traffic_types": [one.model_dump(exclude_none=True) for one in told.traffic_types],
-            "customers": [one.model_dump() for one in told.customers]}
+    rules = [pool.rules for pool in told.pools if told.processor is None or pool.name == told.processor.pool][
+        0
+    ]
+    return {
+        "nodes": told.nodes,
+        "rules": rules.model_dump(),
+        "traffic_types": [one.model_dump(exclude_none=True) for one in told.traffic_types],
+        "customers": [one.model_dump() for one in told.customers],
+    }
 
 
 # acts
 
+
 async def put(place: Place, content: dict[str, Any], why: str, over: int = 0) -> Version:
     """Puts a version, `over` one under way that may be replaced; parts that it has not stay as they are."""
     if isinstance(place, Directory):
@@ -154,8 +163,11 @@
             return mine[0]
         if history.pending not in (0, over):
             other = history.versions[history.pending]
-            raise OperatorError(f"version {other.number} by {other.who} is under way ({other.why}): wait for "
-                                f"it, or put over it with --over {other.number}", 3)
+            raise OperatorError(
+                f"version {other.number} by {other.who} is under way ({other.why}): wait for "
+                f"it, or put over it with --over {other.number}",
+                3,
+            )
         current = history.versions.get(history.in_force)
         whole = (current.content if current is not None else {}) | content
         if current is not None and not history.pending and current.content == whole:
@@ -187,27 +199,44 @@
     history = await history_of(place)
     rows, moment = await place.rows(), time.time()
     names = [row["name"] for row in rows]
-    out = [{"name": row["name"], "start": row["start"], "version": row["acts"][0], "joint": row["acts"][1],
+    out = [
+        {
+            "name": row["name"],
+            "start": row["start"],
+            "version": row["acts"][0],
+            "joint": row["acts"][1],
             "phase": "careful" if row["careful"] else "joint" if row["acts"][1] else "in force",
-            "record": row["seq"], "confirmed_ago_s": round(max(0.0, moment - row["at"]), 3),
-            "list_source": row["list"][0], "list_revision": row["list"][1], "refuses": row["refuses"],
+            "record": row["seq"],
+            "confirmed_ago_s": round(max(0.0, moment - row["at"]), 3),
+            "list_source": row["list"][0],
+            "list_revision": row["list"][1],
+            "refuses": row["refuses"],
             "reason": row["reason"],
-            "doubled": names.count(row["name"]) > 1} for row in rows]
-    return {"in_force": history.in_force, "under_way": history.pending, "record": history.head,
-            "processes": sorted(out, key=lambda row: (row["name"], row["start"]))}
+            "doubled": names.count(row["name"]) > 1,
+        }
+        for row in rows
+    ]
+    return {
+        "in_force": history.in_force,
+        "under_way": history.pending,
+        "record": history.head,
+        "processes": sorted(out, key=lambda row: (row["name"], row["start"])),
+    }
 
 
 def same(told: dict[str, Any]) -> bool:
     """Whether nothing is under way and every process that speaks acts on the version in force."""
     live = [row for row in told["processes"] if row["confirmed_ago_s"] < STALE]
     return not told["under_way"] and all(
-        row["phase"] == "in force" and row["version"] == told["in_force"] for row in live)
+        row["phase"] == "in force" and row["version"] == told["in_force"] for row in live
+    )
 
 
 def table(rows: list[list[str]]) -> list[str]:
     widths = [max(len(row[i]) for row in rows) for i in range(len(rows[0]))]
-    return ["  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
-            for row in rows]
+    return [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip() for row in rows
+    ]
 
 
 def status_lines(told: dict[str, Any]) -> list[str]:
@@ -217,8 +246,17 @@
     for row in told["processes"]:
         reason = row["reason"] + (" (two of this name)" if row["doubled"] else "")
         listed = f"{row['list_source']}@{row['list_revision']}" if row["list_source"] else "-"
-        rows.append([row["name"], row["phase"], str(row["version"]), str(row["joint"] or "-"),
-                     f"{row['confirmed_ago_s']:.1f} s ago", listed, reason.strip()])
+        rows.append(
+            [
+                row["name"],
+                row["phase"],
+                str(row["version"]),
+                str(row["joint"] or "-"),
+                f"{row['confirmed_ago_s']:.1f} s ago",
+                listed,
+                reason.strip(),
+            ]
+        )
     return lines + (table(rows) if len(rows) > 1 else ["no process has told of itself"])
 
 
@@ -228,8 +266,17 @@
     rows = [["version", "from", "put", "by", "digest", "state", "why"]]
     for one in history.versions.values():
         when = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(one.when))
-        rows.append([str(one.number), str(one.parent), when, one.who, one.digest[:12],
-                     ", ".join(one.life) or "under way", one.why])
+        rows.append(
+            [
+                str(one.number),
+                str(one.parent),
+                when,
+                one.who,
+                one.digest[:12],
+                ", ".join(one.life) or "under way",
+                one.why,
+            ]
+        )
     return table(rows)
 
 
@@ -240,8 +287,8 @@
             raise OperatorError(f"there is no version {number}", 2)
     old, new = (history.versions[one].content for one in (first, second))
     rows = [["", "key", str(first), str(second), "meanwhile"]]
-    for path, before, after, rule in meeting.contradictions(old, new):
-        mark = "" if rule in (meeting.FREE, meeting.ROUTE) else "!"
+    for path, before, after, rule in joint_terms.contradictions(old, new):
+        mark = "" if rule in (joint_terms.FREE, joint_terms.ROUTE) else "!"
         rows.append([mark, path, _short(before), _short(after), rule])
     return table(rows) if len(rows) > 1 else ["no difference"]
 
--- a/wheatroute/agreement/places.py
+++ b/wheatroute/agreement/places.py
@@ -65,7 +65,7 @@
     # the list stays the same one: a question given up may still be adding to it, from a thread of its own
     words: list[dict[str, Any]] = getattr(place, "words", [])
     found = words[:]
-    del words[:len(found)]
+    del words[: len(found)]
     return found
 
 
@@ -142,8 +142,10 @@
             if after:
                 head = self._record(after)
                 if head is None or digest(head) != mark:
-                    raise PlaceError(f"{self.path}: record {after} is {'another' if head else 'gone'}: "
-                                     "an older store, or another one")
+                    raise PlaceError(
+                        f"{self.path}: record {after} is {'another' if head else 'gone'}: "
+                        "an older store, or another one"
+                    )
             while len(found) < MOST and (record := self._record(after + len(found) + 1)) is not None:
                 found.append(record)
             return found
@@ -192,8 +194,9 @@
     def words_now(self) -> list[dict[str, Any]]:
         """The words written since this was asked last."""
         try:
-            found = [(one.name, one.stat()) for one in os.scandir(self._words)
-                     if not one.name.startswith(".")]
+            found = [
+                (one.name, one.stat()) for one in os.scandir(self._words) if not one.name.startswith(".")
+            ]
         except FileNotFoundError:
             return []
         entries = {name: (stat.st_mtime_ns, stat.st_ino) for name, stat in found}
@@ -236,7 +239,7 @@
         try:
             view = memoryview(data)
             while view:
-                view = view[os.write(descriptor, view):]
+                view = view[os.write(descriptor, view) :]
             if sync:
                 os.fsync(descriptor)
         finally:
--- a/wheatroute/agreement/relay.py
+++ b/wheatroute/agreement/relay.py
@@ -88,8 +88,11 @@
     async def _carry(self, words: list[dict[str, Any]]) -> None:
         """What the machine's processes say of servers goes into the store, unless that knows better."""
         self._untold |= {word["id"]: word for word in filter(readable, words)}
-        fresh = [word for name, word in self._untold.items()
-                 if name not in self._words or order(word) > order(self._words[name])]
+        fresh = [
+            word
+            for name, word in self._untold.items()
+            if name not in self._words or order(word) > order(self._words[name])
+        ]
         old = self._old(clock())
         if fresh or old:
             await self._store.tell(fresh, old)
@@ -107,8 +110,11 @@
         for name, word in self._words.items():
             if self._since.get(name, (None, 0.0))[0] != order(word):
                 self._since[name] = order(word), now
-        return [name for name, (_, since) in self._since.items()
-                if now - since > self._kept_for and name not in self._untold]
+        return [
+            name
+            for name, (_, since) in self._since.items()
+            if now - since > self._kept_for and name not in self._untold
+        ]
 
     def _rows(self) -> list[dict[str, Any]]:
         """Of the machine's processes, but for those that have not written theirs for long."""
@@ -126,8 +132,11 @@
         for record in records:
             self._kept.add_now(record)
         beside = Path(self.path) / f".{secrets.token_hex(6)}"
-        told = {"sent": sent, "words": list(self._words.values()),
-                "rows": {f"{one['name']}.{one['start']}": one["beat"] for one in rows}}
+        told = {
+            "sent": sent,
+            "words": list(self._words.values()),
+            "rows": {f"{one['name']}.{one['start']}": one["beat"] for one in rows},
+        }
         try:
             beside.write_bytes(orjson.dumps(told))
             os.rename(beside, Path(self.path) / FRESH)
@@ -165,8 +174,9 @@
     Directory(directory).make()
     member = Member(name, secrets.token_hex(6), within)
     through = Through(store(member.lasts), directory, member.lasts, within)
-    following = Following(through, member, _Anything(), lambda adapted, binding: None, lambda: None,
-                          lambda: ("", 0), log)
+    following = Following(
+        through, member, _Anything(), lambda adapted, binding: None, lambda: None, lambda: ("", 0), log
+    )
     try:
         await following.run()
     finally:
--- a/wheatroute/agreement/versions.py
+++ b/wheatroute/agreement/versions.py
@@ -80,17 +80,29 @@
         return {"format": FORMAT, "seq": self.head + 1, "before": self.mark, "kind": kind} | more
 
     def put(self, content: dict[str, Any], name: str, who: str, when: float, why: str) -> dict[str, Any]:
-        return self.next(PUT, version=len(self.versions) + 1, parent=self.in_force, content=content,
-                         digest=digest(content), name=name, who=who, when=when, why=why)
+        return self.next(
+            PUT,
+            version=len(self.versions) + 1,
+            parent=self.in_force,
+            content=content,
+            digest=digest(content),
+            name=name,
+            who=who,
+            when=when,
+            why=why,
+        )
 
     def take(self, record: dict[str, Any]) -> None:
         """The next record; raises `HistoryError` and stays as it was if it is not that."""
         if record.get("format") != FORMAT:
-            raise HistoryError(f"record {self.head + 1} has form {record.get('format')!r}, this program "
-                               f"knows {FORMAT}")
+            raise HistoryError(
+                f"record {self.head + 1} has form {record.get('format')!r}, this program knows {FORMAT}"
+            )
         if record.get("seq") != self.head + 1 or record.get("before") != self.mark:
-            raise HistoryError(f"record {record.get('seq')!r} does not follow record {self.head} "
-                               f"({self.mark[:12] or 'the start'})")
+            raise HistoryError(
+                f"record {record.get('seq')!r} does not follow record {self.head} "
+                f"({self.mark[:12] or 'the start'})"
+            )
         kind, number = record.get("kind"), record.get("version")
         mark = digest(record)
         if kind == PUT:
@@ -100,12 +112,20 @@
             if self.pending:
                 self.versions[self.pending].life.append(f"replaced by {number}")
             self.versions[number] = Version(
-                number, record["parent"], content, record["digest"], record["name"], record["who"],
-                record["when"], record["why"])
+                number,
+                record["parent"],
+                content,
+                record["digest"],
+                record["name"],
+                record["who"],
+                record["when"],
+                record["why"],
+            )
             self.pending, self.put_at = number, record["seq"]
         elif number != self.pending or kind not in (FORCE, WITHDRAW):
             raise HistoryError(
-                f"record {self.head + 1}: {kind!r} of version {number!r}, {self.pending} is put")
+                f"record {self.head + 1}: {kind!r} of version {number!r}, {self.pending} is put"
+            )
         elif kind == FORCE:
             if self.in_force:
                 self.versions[self.in_force].life.append(f"was in force until {number}")
--- a/wheatroute/cli.py
+++ b/wheatroute/cli.py
@@ -33,7 +33,7 @@
 
 @main.command()
 @click.argument("file", type=click.Path())
-@click.option("--worker", type=click.IntRange(0), hidden=True, help="be this worker of a keeper")
+@click.option("--worker", type=click.IntRange(0), hidden=True, help="be this worker of a supervisor")
 @click.option("--descriptor", type=int, default=-1, hidden=True, help="accept on this open listener")
 def processor(file: str, worker: int | None, descriptor: int) -> None:
     """The external processor that FILE describes: other proxies ask it where to send."""
@@ -75,13 +75,13 @@
     from wheatroute.agreement.operator import first
     from wheatroute.agreement.places import PlaceError
     from wheatroute.net.log import open_log
-    from wheatroute.rollout import keeper
+    from wheatroute.rollout import supervisor
     try:
-        told = keeper.read(file)
-        trio.run(keeper.keep, told, open_log(f"keeper-{told.name}"))
-    except (keeper.KeeperError, BaseExceptionGroup) as trouble:
+        told = supervisor.read(file)
+        trio.run(supervisor.keep, told, open_log(f"supervisor-{told.name}"))
+    except (supervisor.SupervisorError, BaseExceptionGroup) as trouble:
         found = first(trouble)
-        if not isinstance(found, keeper.KeeperError | PlaceError):
+        if not isinstance(found, supervisor.SupervisorError | PlaceError):
             raise
         click.echo(str(found), err=True)
         sys.exit(2)
--- a/wheatroute/commands/rollout.py
+++ b/wheatroute/commands/rollout.py
@@ -67,7 +67,7 @@
     """Every step of all rollouts, with the evidence of each verdict."""
     from wheatroute.rollout import operator
 
-    click.echo("\n".join(operator.log_lines(at_place(at, operator.course_of))))
+    click.echo("\n".join(operator.log_lines(at_place(at, operator.progress_of))))
 
 
 @rollout.command("hold")
--- a/wheatroute/processor/service.py
+++ b/wheatroute/processor/service.py
@@ -1,6 +1,6 @@
 """The processor as a program: its workers, its listener, what it does on signals, and how it stops.
 
-Owns the processes. With one worker the program is that worker; with several, a keeper holds the listener,
+Owns the processes. With one worker the program is that worker; with several, a supervisor holds the listener,
 starts them, starts a crashed one anew with growing waits, and passes signals on. It must never end with
 requests unanswered while they can still be answered.
 """
@@ -171,7 +171,7 @@
 
 
 def run(path: str, follow: Follow | None = None) -> int:
-    """The processor as the file has it: one worker in this process, or a keeper of several."""
+    """The processor as the file has it: one worker in this process, or a supervisor of several."""
     early = note_early()
     try:
         file = config.read(path)
@@ -188,10 +188,10 @@
         print(f"wheatroute: {trouble}", file=sys.stderr)
         return 1
     log = open_log(file.name)
-    keeper = Keeper([_command(path, worker, listener.fileno()) for worker in range(file.processor.workers)],
-                    (listener.fileno(),), log)
-    trio.run(keeper.run, early)
-    return keeper.status
+    commands = [_command(path, worker, listener.fileno()) for worker in range(file.processor.workers)]
+    supervisor = WorkerSupervisor(commands, (listener.fileno(),), log)
+    trio.run(supervisor.run, early)
+    return supervisor.status
 
 
 def _command(path: str, worker: int, descriptor: int) -> list[str]:
@@ -199,7 +199,7 @@
             "--descriptor", str(descriptor)]
 
 
-class Keeper:
+class WorkerSupervisor:
     """Keeps one process for each command line going, until it is told to stop."""
 
     def __init__(self, commands: list[list[str]], descriptors: tuple[int, ...], log: Any,
@@ -210,7 +210,7 @@
         self._stopping = False
 
     async def run(self, early: Sequence[int] = ()) -> None:
-        # heeded before the first child: a signal in between would leave one behind without its keeper
+        # heeded before the first child: a signal in between would leave one behind without its supervisor
         with heeded() as signals:
             if not early:
                 await self._run(signals)
--- a/wheatroute/rig/cluster.py
+++ b/wheatroute/rig/cluster.py
@@ -45,7 +45,10 @@
         if self._kept is None:
             raise ValueError("nothing was kept")
         self.store.keys, self.store.history, self.store.revision = (
-            copy.deepcopy(self._kept[0]), list(self._kept[1]), self._kept[2])
+            copy.deepcopy(self._kept[0]),
+            list(self._kept[1]),
+            self._kept[2],
+        )
         if cluster:
             self.store.cluster = cluster
         for one in self.members:
--- a/wheatroute/rig/endpoints.py
+++ b/wheatroute/rig/endpoints.py
@@ -66,6 +66,7 @@
         async with stream:
             with suppress(*BROKEN):
                 await serve(stream)
+
     nursery.start_soon(lambda: trio.serve_listeners(guarded, listeners, handler_nursery=nursery))
     return place
 
@@ -80,8 +81,9 @@
         self.reset = self.error = self.silent = 0.0  # shares of what it has run
         self.held = 0
 
-    async def serve(self, stream: trio.SocketStream, node: str,
-                    sent: Mapping[tuple[str, int], float]) -> None:
+    async def serve(
+        self, stream: trio.SocketStream, node: str, sent: Mapping[tuple[str, int], float]
+    ) -> None:
         """One connection; `sent` says when the last bytes on it left the node, by its place at this side."""
         line, place = Line(stream), stream.socket.getpeername()
         while (message := await line.message()) is not None:
@@ -90,12 +92,30 @@
                 await line.answer(200, f"TEXT active={self.held}".encode())
                 continue
             chance = self._chance.random()
-            how = ("reset" if chance < self.reset else "error" if chance < self.reset + self.error
-                   else "silent" if chance < self.reset + self.error + self.silent else "answered")
+            how = (
+                "reset"
+                if chance < self.reset
+                else "error"
+                if chance < self.reset + self.error
+                else "silent"
+                if chance < self.reset + self.error + self.silent
+                else "answered"
+            )
             kind = first.split(" ")[1].lstrip("/").split("/", 1)[0]
             at = time.monotonic()
-            self._records.ran.append(Ran(at, self.name, self.zone, self.cell, node,
-                                         headers.get("request-id", ""), kind, how, sent.get(place, at)))
+            self._records.ran.append(
+                Ran(
+                    at,
+                    self.name,
+                    self.zone,
+                    self.cell,
+                    node,
+                    headers.get("request-id", ""),
+                    kind,
+                    how,
+                    sent.get(place, at),
+                )
+            )
             self.held += 1
             try:
                 await trio.sleep(self._chance.expovariate(1.0 / self.takes))
@@ -135,8 +155,11 @@
         news.set()
 
     def _told(self, after: int) -> bytes:
-        found = [{key: value for key, value in one.items() if key != "_since"}
-                 for one in self.servers.values() if one["_since"] > after]
+        found = [
+            {key: value for key, value in one.items() if key != "_since"}
+            for one in self.servers.values()
+            if one["_since"] > after
+        ]
         return json.dumps({"version": self.version, "full": after < 0, "servers": found}).encode()
 
     async def serve(self, stream: trio.SocketStream) -> None:
@@ -183,8 +206,12 @@
         self._number += 1
         request = f"{self.node}-{self._number:06x}"
         form = self.kinds[kind][1]
-        head = [f"{'GET' if form == 'retryable' else 'POST'} /{kind}/{self._number} HTTP/1.1", "Host: rig",
-                f"Request-Id: {request}", f"Request-Timeout: {int(self.left * 1000)}m"]
+        head = [
+            f"{'GET' if form == 'retryable' else 'POST'} /{kind}/{self._number} HTTP/1.1",
+            "Host: rig",
+            f"Request-Id: {request}",
+            f"Request-Timeout: {int(self.left * 1000)}m",
+        ]
         if form != "retryable":
             head.append("Content-Length: 2")
         if form == "dedup":
--- a/wheatroute/rig/links.py
+++ b/wheatroute/rig/links.py
@@ -126,6 +126,7 @@
                     # one side is gone: so is the other, but not before the cut ends that hides it
                     await self._pass(way)
                     nursery.cancel_scope.cancel()
+
             nursery.start_soon(pump, near, far, THERE)
             nursery.start_soon(pump, far, near, BACK)
 
@@ -142,7 +143,7 @@
             return
         for at in range(0, len(data), max(1, int(rate / 20))):
             await self._pass(way)
-            await sink.send_all(data[at:at + max(1, int(rate / 20))])
+            await sink.send_all(data[at : at + max(1, int(rate / 20))])
             await trio.sleep(0.05)
 
 
--- a/wheatroute/rig/processes.py
+++ b/wheatroute/rig/processes.py
@@ -31,8 +31,14 @@
             raise RigError(f"{self.name} runs already")
         self.starts += 1
         with open(self._log, "ab") as log:
-            self._running = subprocess.Popen(self._command, cwd=ROOT, env=os.environ | self._environment,
-                                             stdout=log, stderr=subprocess.STDOUT, start_new_session=True)
+            self._running = subprocess.Popen(
+                self._command,
+                cwd=ROOT,
+                env=os.environ | self._environment,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                start_new_session=True,
+            )
 
     @property
     def alive(self) -> bool:
@@ -69,14 +75,14 @@
 
 
 class Kept(Process):
-    """A node that a keeper runs: whatever process has the node's file. Its log is the node's."""
+    """A node that a supervisor runs: whatever process has the node's file. Its log is the node's."""
 
     def __init__(self, name: str, file: Path, log: Path) -> None:
         super().__init__(name, [], {}, log)
         self._mark = f"PROXY_CONFIG={file}".encode()
 
     def start(self) -> None:
-        """Its keeper does that."""
+        """Its supervisor does that."""
 
     @property
     def pids(self) -> list[int]:
@@ -110,8 +116,14 @@
 
     def start(self) -> None:
         with open(self._log, "ab") as log:
-            self._running = subprocess.Popen(self._command, cwd=ROOT, stdin=subprocess.PIPE, stderr=log,
-                                             stdout=subprocess.PIPE, start_new_session=True)
+            self._running = subprocess.Popen(
+                self._command,
+                cwd=ROOT,
+                stdin=subprocess.PIPE,
+                stderr=log,
+                stdout=subprocess.PIPE,
+                start_new_session=True,
+            )
         assert self._running.stdout is not None
         self.places = [(host, port) for host, port in json.loads(self._running.stdout.readline())]
 
--- a/wheatroute/rig/records.py
+++ b/wheatroute/rig/records.py
@@ -144,8 +144,12 @@
             continue
         around = _around(records, runs[0].at, asked.ended)
         rules = [one.kinds[asked.kind] for one in around if asked.kind in one.kinds]
-        if rules and all(EFFECTS.get(one.get("effect", ""), 2) == 2 or EFFECTS.get(one["effect"]) == 1
-                         and one.get("group", "all") != "all" for one in rules):
+        if rules and all(
+            EFFECTS.get(one.get("effect", ""), 2) == 2
+            or EFFECTS.get(one["effect"]) == 1
+            and one.get("group", "all") != "all"
+            for one in rules
+        ):
             out.append(asked)
     return out
 
@@ -154,7 +158,7 @@
     """Versions that some process may act on between two moments."""
     put = [one for one in records.versions if one.put <= last]
     settled = [i for i, one in enumerate(put) if one.state == "in force" and 0.0 < one.ended <= first]
-    return put[settled[-1]:] if settled else put
+    return put[settled[-1] :] if settled else put
 
 
 def lost(records: Records, until: float) -> list[Asked]:
@@ -166,9 +170,14 @@
     for one in records.asked.values():
         due = _due(one) + records.lateness.between(one.sent, one.ended or until)
         # one whose connection broke is lost at once, whatever time it had left
-        if due > until and one.status >= 0 or any(
+        if (
+            due > until
+            and one.status >= 0
+            or any(
                 start - 0.05 <= due and one.sent <= end and node == one.node
-                for start, end, node in records.killed):
+                for start, end, node in records.killed
+            )
+        ):
             continue
         if one.answers != 1 or one.status <= 0 or one.ended > due:
             out.append(one)
@@ -182,8 +191,13 @@
 
 def excused(records: Records) -> list[Asked]:
     """Requests whose answer came late by no more than the rig's own loop was."""
-    return [one for one in records.asked.values() if one.answers == 1 and one.status > 0
-            and _due(one) < one.ended <= _due(one) + records.lateness.between(one.sent, one.ended)]
+    return [
+        one
+        for one in records.asked.values()
+        if one.answers == 1
+        and one.status > 0
+        and _due(one) < one.ended <= _due(one) + records.lateness.between(one.sent, one.ended)
+    ]
 
 
 def after_answer(records: Records) -> list[Ran]:
@@ -191,15 +205,22 @@
 
     By when they were sent: this process may come late to read what was sent before.
     """
-    return [ran for ran in records.ran if ran.request in records.asked
-            and records.asked[ran.request].status > 0
-            and ran.sent > records.asked[ran.request].ended + SLACK]
+    return [
+        ran
+        for ran in records.ran
+        if ran.request in records.asked
+        and records.asked[ran.request].status > 0
+        and ran.sent > records.asked[ran.request].ended + SLACK
+    ]
 
 
 def undrained(records: Records, grace: float = 2.0) -> list[Ran]:
     """What servers began after the grace since all were told that they are to be left."""
-    return [ran for ran in records.ran
-            if ran.at > records.drained.get(ran.server, float("inf")) + grace + SLACK + KEPT_WITHIN]
+    return [
+        ran
+        for ran in records.ran
+        if ran.at > records.drained.get(ran.server, float("inf")) + grace + SLACK + KEPT_WITHIN
+    ]
 
 
 def misread(records: Records) -> list[Asked]:
@@ -222,8 +243,11 @@
         return []
     first, last = min(lines)[0] - 30.0, max(lines)[0] + 1.0
     lines += [(at, f"fault: {what}") for at, what in records.faults if first <= at <= last]
-    lines += [(one.put, f"version {one.number} put ({one.state})") for one in records.versions
-              if first <= one.put <= last]
+    lines += [
+        (one.put, f"version {one.number} put ({one.state})")
+        for one in records.versions
+        if first <= one.put <= last
+    ]
     start = min(lines)[0]
     return [f"{at - start:8.3f} s  {text}" for at, text in sorted(lines)]
 
@@ -238,9 +262,13 @@
         ("an effect twice", [one.request for one in twice(records)]),
         ("refused though it may have run", [one.request for one in refused_begun(records)]),
         ("sent after the final answer", [one.request for one in after_answer(records)]),
-        (f"an act that contradicts later than {within:g} s", [ran.request for _, ran, _ in late]))
-    return [Breach(f"{rule} ({len(requests)})", requests[0], story(records, requests[0]))
-            for rule, requests in found if requests]
+        (f"an act that contradicts later than {within:g} s", [ran.request for _, ran, _ in late]),
+    )
+    return [
+        Breach(f"{rule} ({len(requests)})", requests[0], story(records, requests[0]))
+        for rule, requests in found
+        if requests
+    ]
 
 
 def summary(records: Records, until: float, within: float) -> dict[str, Any]:
@@ -248,14 +276,22 @@
     contra = contradictions(records)
     statuses = Counter(one.status for one in records.asked.values())
     return {
-        "commands": len(records.asked), "served": statuses[200], "refused": statuses[503],
-        "failed": statuses[502], "misread": len(misread(records)), "begun": len(records.ran),
+        "commands": len(records.asked),
+        "served": statuses[200],
+        "refused": statuses[503],
+        "failed": statuses[502],
+        "misread": len(misread(records)),
+        "begun": len(records.ran),
         "repeats": sum(len(runs) - 1 for runs in attempts(records).values()),
         "contradictions": len(contra),
         "late_contradictions": sum(found[0] > within for found in contra),
         "worst_contradiction_ms": round(1000 * max((found[0] for found in contra), default=0.0), 1),
-        "bound_ms": round(1000 * within, 1), "lost": len(lost(records, until)),
-        "undrained": len(undrained(records)), "unsafe_twice": len(twice(records)),
-        "refused_begun": len(refused_begun(records)), "after_answer": len(after_answer(records)),
-        "rig_late_ms": round(1000 * records.lateness.worst, 1), "late_by_the_rig": len(excused(records)),
+        "bound_ms": round(1000 * within, 1),
+        "lost": len(lost(records, until)),
+        "undrained": len(undrained(records)),
+        "unsafe_twice": len(twice(records)),
+        "refused_begun": len(refused_begun(records)),
+        "after_answer": len(after_answer(records)),
+        "rig_late_ms": round(1000 * records.lateness.worst, 1),
+        "late_by_the_rig": len(excused(records)),
     }
--- a/wheatroute/rig/rig.py
+++ b/wheatroute/rig/rig.py
@@ -40,10 +40,23 @@
     """Nodes n0.., processors p0.. behind a proxy each, servers s0.., a store for versions, clients of each,
     and a link between any two."""
 
-    def __init__(self, settings: dict[str, Any], folder: Path, seed: int, within: float, nodes: int,
-                 servers: int, store: str, members: int, zones: int, lists: str,
-                 peers: bool, processors: int, workers: int,
-                 programs: dict[str, list[str]] | None) -> None:
+    def __init__(
+        self,
+        settings: dict[str, Any],
+        folder: Path,
+        seed: int,
+        within: float,
+        nodes: int,
+        servers: int,
+        store: str,
+        members: int,
+        zones: int,
+        lists: str,
+        peers: bool,
+        processors: int,
+        workers: int,
+        programs: dict[str, list[str]] | None,
+    ) -> None:
         self.settings, self.folder, self.seed, self.within = settings, folder, seed, within
         self.records = Records()
         self.links: dict[str, Link | Datagrams] = {}
@@ -53,12 +66,14 @@
         self.lists: dict[str, ListService] = {}
         self.clients: dict[str, Clients] = {}
         self.zones = [chr(ord("a") + i) for i in range(zones)]
-        self.servers = {f"s{i}": Server(f"s{i}", self.zones[i % zones], i // CELLS, self.records, seed)
-                        for i in range(servers)}
+        self.servers = {
+            f"s{i}": Server(f"s{i}", self.zones[i % zones], i // CELLS, self.records, seed)
+            for i in range(servers)
+        }
         self.processors = [f"p{i}" for i in range(processors)]
         self.names = [f"n{i}" for i in range(nodes)] + self.processors
         self.workers = workers  # of each processor
-        self.programs = programs  # that keepers of the nodes have; the first one runs
+        self.programs = programs  # that supervisors of the nodes have; the first one runs
         self.kind, self._members, self._listed_by = store, members, lists
         self._entries: dict[tuple[str, str], dict[str, Any]] = {}  # by node and server
         self.cluster: Cluster | None = None
@@ -85,7 +100,8 @@
             self._hears[name] = self._reserve(socket.SOCK_DGRAM)
         for one, other in itertools.combinations(self._hears, 2):
             link = self.links[f"{one}-{other}"] = Datagrams(
-                f"{one}-{other}", (self._hears[one], self._hears[other]), self.seed)
+                f"{one}-{other}", (self._hears[one], self._hears[other]), self.seed
+            )
             nursery.start_soon(link.run)
         for i, name in enumerate(self.names):
             await (self._make_processor if name in self.processors else self._make_node)(i, name)
@@ -110,12 +126,28 @@
         assert self.cluster is not None
         places = [self.link(f"relay-etcd{i}", place) for i, place in enumerate(self.cluster.places)]
         at = "etcd://" + ",".join("{}:{}".format(*place) for place in places) + "/rig"
-        self.processes["relay"] = relay = Process("relay", [
-            sys.executable, "-m", "wheatroute.cli", "settings", "--at", at, "relay", "--into",
-            str(self.folder / "kept"), "--within", str(self.within), "--name", "here"], {},
-            self.folder / "relay.log")
+        self.processes["relay"] = relay = Process(
+            "relay",
+            [
+                sys.executable,
+                "-m",
+                "wheatroute.cli",
+                "settings",
+                "--at",
+                at,
+                "relay",
+                "--into",
+                str(self.folder / "kept"),
+                "--within",
+                str(self.within),
+                "--name",
+                "here",
+            ],
+            {},
+            self.folder / "relay.log",
+        )
         relay.start()
-        await self.until(partial(_says, relay, "phase=\"in force\""), "the relay was confirmed")
+        await self.until(partial(_says, relay, 'phase="in force"'), "the relay was confirmed")
 
     async def _listed_for(self, name: str) -> tuple[str, int]:
         """The list service of a process, through a link, and links of its own to all servers."""
@@ -123,8 +155,15 @@
         for server in self.servers.values():
             place = await self._server_for(server, name)
             entry = self._entries[name, server.name] = {
-                "id": server.name, "addr": f"{place[0]}:{place[1]}", "zone": server.zone, "kind": "toy",
-                "cell": server.cell, "state": "in_service", "weight": 1.0, "started_ms": 0}
+                "id": server.name,
+                "addr": f"{place[0]}:{place[1]}",
+                "zone": server.zone,
+                "kind": "toy",
+                "cell": server.cell,
+                "state": "in_service",
+                "weight": 1.0,
+                "started_ms": 0,
+            }
             service.say(entry)
             self._list(name, entry)
         return self.link(f"{name}-list", await listen(service.serve, self._nursery))
@@ -133,40 +172,64 @@
         agent = await self._listed_for(name)
         listening = self._reserve()
         path = self.folder / f"{name}.toml"
-        own = {"list_service": '"{}:{}"'.format(*agent), "listen": '"{}:{}"'.format(*listening),
-               "name": json.dumps(name), "node": number, "workers": self.workers}
+        own = {
+            "list_service": '"{}:{}"'.format(*agent),
+            "listen": '"{}:{}"'.format(*listening),
+            "name": json.dumps(name),
+            "node": number,
+            "workers": self.workers,
+        }
         place = [f"{key} = {json.dumps(value)}" for key, value in self._agreement(name).items()]
-        path.write_text(file_text(self.settings, len(self.names), own)
-                        + "\n".join(["[agreement]", *place, ""]))
-        self.processes[name] = Process(name, [
-            sys.executable, "-m", "wheatroute.cli", "processor", str(path)], {}, self.folder / f"{name}.log")
+        path.write_text(
+            file_text(self.settings, len(self.names), own) + "\n".join(["[agreement]", *place, ""])
+        )
+        self.processes[name] = Process(
+            name,
+            [sys.executable, "-m", "wheatroute.cli", "processor", str(path)],
+            {},
+            self.folder / f"{name}.log",
+        )
         from wheatroute.rig.gateway import Gateway  # who plays no processor does not pay for it
+
         gateway = Gateway(self.link(f"proxy-{name}", listening))
         self._nursery.start_soon(gateway.run)
         self._call(name, await listen(gateway.serve, self._nursery))
 
     def _call(self, name: str, place: tuple[str, int]) -> None:
-        clients = self.clients[name] = Clients(name, self.link(f"callers-{name}", place), self.records,
-                                               self.seed)
+        clients = self.clients[name] = Clients(
+            name, self.link(f"callers-{name}", place), self.records, self.seed
+        )
         self._nursery.start_soon(clients.run)
 
     async def _make_node(self, number: int, name: str) -> None:
         agent = await self._listed_for(name)
         listening = self._reserve()
         told: dict[str, Any] = {
-            "name": name, "listen": "{}:{}".format(*listening), "discovery": "{}:{}".format(*agent),
-            "seed": f"{self.seed}/{name}", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "settings": deepcopy(self.settings) | {"me": number, "balancers": len(self.names),
-                                                   "zone": self.zones[number % len(self.zones)]},
-            "agreement": self._agreement(name)}
+            "name": name,
+            "listen": "{}:{}".format(*listening),
+            "discovery": "{}:{}".format(*agent),
+            "seed": f"{self.seed}/{name}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "settings": deepcopy(self.settings)
+            | {"me": number, "balancers": len(self.names), "zone": self.zones[number % len(self.zones)]},
+            "agreement": self._agreement(name),
+        }
         if self._tell:
-            told["peers"] = {"listen": "{}:{}".format(*self._hears[name]), "others": [
-                "{}:{}".format(*link.places[name != ends.split("-")[0]]) for ends, link in self.links.items()
-                if isinstance(link, Datagrams) and name in ends.split("-")]}
+            told["peers"] = {
+                "listen": "{}:{}".format(*self._hears[name]),
+                "others": [
+                    "{}:{}".format(*link.places[name != ends.split("-")[0]])
+                    for ends, link in self.links.items()
+                    if isinstance(link, Datagrams) and name in ends.split("-")
+                ],
+            }
         if self._listed_by == "etcd" and self.cluster is not None:
             places = [self.link(f"{name}-list{i}", place) for i, place in enumerate(self.cluster.places)]
-            told["servers"] = {"etcd": ["{}:{}".format(*place) for place in places],
-                               "prefix": f"/servers/{name}/", "nodes_prefix": "/members/"}
+            told["servers"] = {
+                "etcd": ["{}:{}".format(*place) for place in places],
+                "prefix": f"/servers/{name}/",
+                "nodes_prefix": "/members/",
+            }
         if self.programs is not None:
             told["beside"], told["rollout"] = True, {"directory": str(self.folder / "rollouts")}
             self._keep(name)
@@ -174,33 +237,64 @@
             self._call(name, listening)
             return
         self.write(name, told)
-        self.processes[name] = Process(name, [sys.executable, "-m", "wheatroute"], {
-            "PROXY_CONFIG": str(self.folder / f"{name}.json")}, self.folder / f"{name}.log")
+        self.processes[name] = Process(
+            name,
+            [sys.executable, "-m", "wheatroute"],
+            {"PROXY_CONFIG": str(self.folder / f"{name}.json")},
+            self.folder / f"{name}.log",
+        )
         self._call(name, listening)
 
     def _keep(self, name: str) -> None:
-        """A keeper for a node, in a process of its own."""
+        """A supervisor for a node, in a process of its own."""
         assert self.programs is not None
         Directory(str(self.folder / "rollouts")).make()
-        file, path = self.folder / f"{name}.json", self.folder / f"keeper-{name}.toml"
-        told = {"name": name, "site": self.zones[self.names.index(name) % len(self.zones)], "file": str(file),
-                "first": next(iter(self.programs)), "state": str(self.folder / f"{name}.state"),
-                "log": str(self.folder / f"{name}.log"), "directory": str(self.folder / "rollouts"),
-                "patience": 10.0}
-        path.write_text("\n".join([
-            *(f"{key} = {json.dumps(value)}" for key, value in told.items()), "[programs]",
-            *(f"{json.dumps(key)} = {json.dumps(value)}" for key, value in self.programs.items()), ""]))
-        self.processes[f"keeper-{name}"] = Process(f"keeper-{name}", [
-            sys.executable, "-m", "wheatroute.cli", "keep", str(path)], {},
-            self.folder / f"keeper-{name}.log")
+        file, path = self.folder / f"{name}.json", self.folder / f"supervisor-{name}.toml"
+        told = {
+            "name": name,
+            "site": self.zones[self.names.index(name) % len(self.zones)],
+            "file": str(file),
+            "first": next(iter(self.programs)),
+            "state": str(self.folder / f"{name}.state"),
+            "log": str(self.folder / f"{name}.log"),
+            "directory": str(self.folder / "rollouts"),
+            "patience": 10.0,
+        }
+        path.write_text(
+            "\n".join(
+                [
+                    *(f"{key} = {json.dumps(value)}" for key, value in told.items()),
+                    "[programs]",
+                    *(f"{json.dumps(key)} = {json.dumps(value)}" for key, value in self.programs.items()),
+                    "",
+                ]
+            )
+        )
+        self.processes[f"supervisor-{name}"] = Process(
+            f"supervisor-{name}",
+            [sys.executable, "-m", "wheatroute.cli", "keep", str(path)],
+            {},
+            self.folder / f"supervisor-{name}.log",
+        )
         self.processes[name] = Kept(name, file, self.folder / f"{name}.log")
 
     def control(self) -> str:
         """One more controller of rollouts; its name."""
         name = f"controller{sum(one.startswith('controller') for one in self.processes)}"
-        self.processes[name] = Process(name, [
-            sys.executable, "-m", "wheatroute.cli", "rollout", "--at", str(self.folder / "rollouts"),
-            "control"], {}, self.folder / f"{name}.log")
+        self.processes[name] = Process(
+            name,
+            [
+                sys.executable,
+                "-m",
+                "wheatroute.cli",
+                "rollout",
+                "--at",
+                str(self.folder / "rollouts"),
+                "control",
+            ],
+            {},
+            self.folder / f"{name}.log",
+        )
         self.processes[name].start()
         return name
 
@@ -212,6 +306,7 @@
     async def _server_for(self, server: Server, node: str) -> tuple[str, int]:
         async def serve(stream: trio.SocketStream) -> None:
             await server.serve(stream, node, link.sent_at)
+
         link = self._linked(f"{node}-{server.name}", await listen(serve, self._nursery))
         return link.place
 
@@ -332,8 +427,9 @@
         process = self.processes[name]
         before = process.log.count("event=listening")
         process.start()
-        await self.until(lambda: process.log.count("event=listening") >= before + self._each(name),
-                         f"{name} listens again")
+        await self.until(
+            lambda: process.log.count("event=listening") >= before + self._each(name), f"{name} listens again"
+        )
         if name in self._stopped:
             self.records.killed.append((self._stopped.pop(name), time.monotonic(), name))
 
@@ -361,9 +457,11 @@
         told = self.file(name) | {"listen": "{}:{}".format(*self._reserve())}
         self.write(f"{name}-double", told)
         process = self.processes[f"{name}-double"] = Process(
-            f"{name}-double", [sys.executable, "-m", "wheatroute"], {
-                "PROXY_CONFIG": str(self.folder / f"{name}-double.json")},
-            self.folder / f"{name}-double.log")
+            f"{name}-double",
+            [sys.executable, "-m", "wheatroute"],
+            {"PROXY_CONFIG": str(self.folder / f"{name}-double.json")},
+            self.folder / f"{name}-double.log",
+        )
         process.start()
         return process
 
@@ -374,13 +472,18 @@
         """
         at = str(self.folder / "store")
         if self.kind != "directory" and self.cluster is not None:
-            places = [self.link(f"{through}-etcd{i}", place) if through else place
-                      for i, place in enumerate(self.cluster.places)]
+            places = [
+                self.link(f"{through}-etcd{i}", place) if through else place
+                for i, place in enumerate(self.cluster.places)
+            ]
             at = "etcd://" + ",".join("{}:{}".format(*place) for place in places) + "/rig"
         name = f"operator{len(self.processes)}"
         process = self.processes[name] = Process(
-            name, [sys.executable, "-m", "wheatroute.cli", "settings", "--at", at, *words], {},
-            self.folder / f"{name}.log")
+            name,
+            [sys.executable, "-m", "wheatroute.cli", "settings", "--at", at, *words],
+            {},
+            self.folder / f"{name}.log",
+        )
         process.start()
         return process
 
@@ -424,8 +527,9 @@
                 path.write_text(file_text(settings, len(self.names), {}))
                 content |= operator.content_of(str(path))[0]
             version = await operator.put(place, content, why, over)
-        self.records.versions.append(Known(version.number, {
-            one["name"]: one for one in settings["traffic-types"]}, moment))
+        self.records.versions.append(
+            Known(version.number, {one["name"]: one for one in settings["traffic-types"]}, moment)
+        )
         return version.number
 
     async def ended(self, number: int, patience: float = PATIENCE) -> str:
@@ -459,8 +563,11 @@
                     told = await self.status()
                     for row in sorted(told["processes"], key=lambda row: -row["confirmed_ago_s"]):
                         rows[row["name"]] = row
-                if all(name in rows and rows[name]["phase"] == "in force" and rows[name]["version"] == number
-                       for one in names or self.names for name in self._rows(one)):
+                if all(
+                    name in rows and rows[name]["phase"] == "in force" and rows[name]["version"] == number
+                    for one in names or self.names
+                    for name in self._rows(one)
+                ):
                     return
                 await trio.sleep(0.02)
         raise RigError(f"waited {patience:g} s until all act on version {number}: {rows}")
@@ -492,24 +599,50 @@
 
 
 @asynccontextmanager
-async def rig(nodes: int = 3, servers: int = 4, store: str = "directory", members: int = 3, zones: int = 1,
-              within: float = 2.0, seed: int = 1, settings: dict[str, Any] | None = None,
-              longest: float = 120.0, keep: Path | None = None,
-              lists: str = "service", peers: bool = False, processors: int = 0, workers: int = 2,
-              programs: dict[str, list[str]] | None = None) -> AsyncIterator[Rig]:
+async def rig(
+    nodes: int = 3,
+    servers: int = 4,
+    store: str = "directory",
+    members: int = 3,
+    zones: int = 1,
+    within: float = 2.0,
+    seed: int = 1,
+    settings: dict[str, Any] | None = None,
+    longest: float = 120.0,
+    keep: Path | None = None,
+    lists: str = "service",
+    peers: bool = False,
+    processors: int = 0,
+    workers: int = 2,
+    programs: dict[str, list[str]] | None = None,
+) -> AsyncIterator[Rig]:
     """A rig that stands, for as long as that lasts and `longest` at the most; then all of it is ended.
 
     `store` is where versions are, a directory or etcd; `lists` where servers are, a list service or
     etcd. With `peers` nodes tell one another what servers hold, by datagrams. Processors, with so many
-    workers each, hear of servers by a list service. With `programs`, nodes are run by keepers. Logs and
+    workers each, hear of servers by a list service. With `programs`, nodes are run by supervisors. Logs and
     files go into `keep`, or into a folder that goes with the rig.
     """
     folder = keep or Path(tempfile.mkdtemp(prefix="wheatroute-rig-"))
     folder.mkdir(parents=True, exist_ok=True)
     told = deepcopy(settings or SETTINGS)
     told["dcs"] = [chr(ord("a") + i) for i in range(zones)]
-    made = Rig(told, folder, seed, within, nodes, servers, store, members, zones, lists, peers,
-               processors, workers, programs)
+    made = Rig(
+        told,
+        folder,
+        seed,
+        within,
+        nodes,
+        servers,
+        store,
+        members,
+        zones,
+        lists,
+        peers,
+        processors,
+        workers,
+        programs,
+    )
     try:
         with trio.fail_after(longest):
             async with trio.open_nursery() as nursery:
--- a/wheatroute/rig/script.py
+++ b/wheatroute/rig/script.py
@@ -70,8 +70,17 @@
 
     @model_validator(mode="after")
     def _whole(self) -> Step:
-        needs = {"cut": 2, "heal": 2, "spoil": 2, "reset": 2, "stop": 1, "continue": 1, "kill": 1, "start": 1,
-                 "drain": 1}.get(self.do, 0)
+        needs = {
+            "cut": 2,
+            "heal": 2,
+            "spoil": 2,
+            "reset": 2,
+            "stop": 1,
+            "continue": 1,
+            "kill": 1,
+            "start": 1,
+            "drain": 1,
+        }.get(self.do, 0)
         if needs > 0 and not self.one or needs > 1 and not self.other:
             raise ValueError(f"{self.do} wants {'one and other' if needs > 1 else 'one'}")
         return self
@@ -110,17 +119,31 @@
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as trouble:
         raise ScriptError(f"{path}: is not TOML: {trouble}") from trouble
     except ValidationError as trouble:
-        raise ScriptError("\n".join(f"{path}: {'.'.join(map(str, one['loc'])) or 'the whole'}: {one['msg']}"
-                                    for one in trouble.errors())) from trouble
+        raise ScriptError(
+            "\n".join(
+                f"{path}: {'.'.join(map(str, one['loc'])) or 'the whole'}: {one['msg']}"
+                for one in trouble.errors()
+            )
+        ) from trouble
 
 
-async def play(script: Script, folder: Path, tell: Callable[[float], None] = lambda done: None
-               ) -> dict[str, Any]:
+async def play(
+    script: Script, folder: Path, tell: Callable[[float], None] = lambda done: None
+) -> dict[str, Any]:
     """Plays the script into a folder; returns the summary."""
-    async with rig(nodes=script.nodes, servers=script.servers.count, store=script.store, zones=script.zones,
-                   members=script.members, within=script.within, seed=script.seed, keep=folder,
-                   processors=script.processors, workers=script.workers,
-                   longest=script.seconds * 2 + 120.0) as it:
+    async with rig(
+        nodes=script.nodes,
+        servers=script.servers.count,
+        store=script.store,
+        zones=script.zones,
+        members=script.members,
+        within=script.within,
+        seed=script.seed,
+        keep=folder,
+        processors=script.processors,
+        workers=script.workers,
+        longest=script.seconds * 2 + 120.0,
+    ) as it:
         for server in it.servers.values():
             server.takes, server.reset = script.servers.takes, script.servers.reset
             server.error, server.silent = script.servers.error, script.servers.silent
@@ -191,14 +214,25 @@
 def _keep(it: Rig, script: Script, folder: Path, began: float, wall: float, until: float) -> dict[str, Any]:
     told = records.summary(it.records, until, script.within)
     breaches = records.judge(it.records, until, script.within)
-    told |= {"name": script.name, "seed": script.seed, "processes": len(it.processes),
-             "within": script.within, "changes": len(it.records.versions) - 1,
-             "broken": [one.rule for one in breaches]}
-    kept = {"began": began, "wall": wall, "until": until, "script": script.model_dump(),
-            "ran": [asdict(one) for one in it.records.ran],
-            "asked": [asdict(one) for one in it.records.asked.values()],
-            "versions": [asdict(one) | {"kinds": {}} for one in it.records.versions],
-            "faults": it.records.faults, "stories": [[one.rule, one.request, one.story] for one in breaches]}
+    told |= {
+        "name": script.name,
+        "seed": script.seed,
+        "processes": len(it.processes),
+        "within": script.within,
+        "changes": len(it.records.versions) - 1,
+        "broken": [one.rule for one in breaches],
+    }
+    kept = {
+        "began": began,
+        "wall": wall,
+        "until": until,
+        "script": script.model_dump(),
+        "ran": [asdict(one) for one in it.records.ran],
+        "asked": [asdict(one) for one in it.records.asked.values()],
+        "versions": [asdict(one) | {"kinds": {}} for one in it.records.versions],
+        "faults": it.records.faults,
+        "stories": [[one.rule, one.request, one.story] for one in breaches],
+    }
     (folder / "records.json").write_text(json.dumps(kept))
     (folder / "summary.json").write_text(json.dumps(told, indent=1))
     return told
@@ -219,8 +253,10 @@
 def report(folder: Path) -> Path:
     """Draws what was served and repeated by second, with versions and faults; writes report.md."""
     import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot
+
     kept = json.loads((folder / "records.json").read_text())
     told = json.loads((folder / "summary.json").read_text())
     began, script = kept["began"], kept["script"]
@@ -229,8 +265,11 @@
     for name in names:
         mine = [one for one in kept["asked"] if one["node"] == name]
         seconds = sorted({int(one["sent"] - began) for one in mine})
-        share = [sum(one["status"] == 200 for one in mine if int(one["sent"] - began) == second)
-                 / max(1, sum(int(one["sent"] - began) == second for one in mine)) for second in seconds]
+        share = [
+            sum(one["status"] == 200 for one in mine if int(one["sent"] - began) == second)
+            / max(1, sum(int(one["sent"] - began) == second for one in mine))
+            for second in seconds
+        ]
         above.plot(seconds, share, drawstyle="steps-post", label=name)
     above.set_ylabel("share served, by second")
     above.set_ylim(0.0, 1.05)
@@ -238,8 +277,9 @@
     colours = {"careful": "tab:red", "joint": "tab:orange", "in force": "tab:green"}
     for row, name in enumerate(names):
         phases = _phases(folder / f"{name}.log", kept["wall"])
-        for (at, phase, version), (over, *_) in zip(phases, [*phases[1:], (script["seconds"], "", 0)],
-                                                    strict=True):
+        for (at, phase, version), (over, *_) in zip(
+            phases, [*phases[1:], (script["seconds"], "", 0)], strict=True
+        ):
             below.barh(row, over - at, left=at, color=colours.get(phase, "tab:gray"), height=0.6)
             below.text(max(0.0, at), row, str(version), va="center", fontsize=7)
     below.set_yticks(range(len(names)), names)
@@ -255,8 +295,14 @@
     figure.savefig(folder / "timeline.png", dpi=120)
     pyplot.close(figure)
     page = folder / "report.md"
-    page.write_text("# " + script["name"] + "\n\n" + "\n".join(
-        "    " + line for line in lines(told, folder)) + "\n\n![timeline](timeline.png)\n", encoding="utf-8")
+    page.write_text(
+        "# "
+        + script["name"]
+        + "\n\n"
+        + "\n".join("    " + line for line in lines(told, folder))
+        + "\n\n![timeline](timeline.png)\n",
+        encoding="utf-8",
+    )
     return page
 
 
--- a/wheatroute/rollout/account.py
+++ b/wheatroute/rollout/account.py
@@ -29,16 +29,18 @@
 class Account:
     """One node's. `names` and `tenants` are the node's numbers by name."""
 
-    def __init__(self, names: Mapping[str, int], tenants: Mapping[str, int],
-                 kinds: list[dict[str, Any]]) -> None:
+    def __init__(
+        self, names: Mapping[str, int], tenants: Mapping[str, int], kinds: list[dict[str, Any]]
+    ) -> None:
         self._lost = 0  # by clients that have gone since
         self._open: dict[int, float] = {}  # requests without an end, and their deadlines
         self._cells: dict[tuple[int, int], list[int]] = defaultdict(lambda: [0] * 6)
         self._times: dict[int, Counter[int]] = defaultdict(Counter)
         self.agree(names, tenants, kinds)
 
-    def agree(self, names: Mapping[str, int], tenants: Mapping[str, int],
-              kinds: list[dict[str, Any]]) -> None:
+    def agree(
+        self, names: Mapping[str, int], tenants: Mapping[str, int], kinds: list[dict[str, Any]]
+    ) -> None:
         """Other settings."""
         self._names = {number: name for name, number in names.items()}
         self._tenants = {number: name for name, number in tenants.items()}
@@ -80,12 +82,21 @@
     def row(self, now: float) -> dict[str, Any]:
         """Sums since the start, by the names of classes and tenants."""
         lost = self._lost + sum(now > deadline + OVERDUE for deadline in self._open.values())
-        cells = [[self._names.get(kind, f"class {kind}"), self._tenants.get(tenant, ""), *counts]
-                 for (kind, tenant), counts in self._cells.items()]
-        times = {self._names.get(kind, f"class {kind}"): {str(at): count for at, count in counts.items()}
-                 for kind, counts in self._times.items()}
-        return {"format": FORMAT, "lost": lost, "cells": cells, "times": times,
-                "worth": {name: self._kinds[number]["worth"] for number, name in self._names.items()}}
+        cells = [
+            [self._names.get(kind, f"class {kind}"), self._tenants.get(tenant, ""), *counts]
+            for (kind, tenant), counts in self._cells.items()
+        ]
+        times = {
+            self._names.get(kind, f"class {kind}"): {str(at): count for at, count in counts.items()}
+            for kind, counts in self._times.items()
+        }
+        return {
+            "format": FORMAT,
+            "lost": lost,
+            "cells": cells,
+            "times": times,
+            "worth": {name: self._kinds[number]["worth"] for number, name in self._names.items()},
+        }
 
 
 # what two rows of a node say
@@ -128,8 +139,9 @@
     return out
 
 
-def tallies(before: Mapping[str, Any], after: Mapping[str, Any], site: str, slow: Thresholds
-            ) -> dict[str, Tally]:
+def tallies(
+    before: Mapping[str, Any], after: Mapping[str, Any], site: str, slow: Thresholds
+) -> dict[str, Tally]:
     """What a node did between two rows, for the whole traffic and its parts; nothing if it began anew."""
     out: dict[str, Tally] = defaultdict(Tally)
     if before["start"] != after["start"] or after["format"] != before["format"]:
@@ -138,12 +150,17 @@
     ended_all, most = 0, max([1e-9, *after["worth"].values()])
     for name, tenant, *counts in after["cells"]:
         was = known.get((name, tenant), [0] * len(counts))
-        ended, in_time, refusals, failed, more, left = (now - then for now, then in
-                                                           zip(counts, was, strict=True))
+        ended, in_time, refusals, failed, more, left = (
+            now - then for now, then in zip(counts, was, strict=True)
+        )
         ended_all += ended
         worth = after["worth"].get(name, 1.0) / most
-        told = {"worth": Tally(worth * (ended - in_time), worth * ended), "refused": Tally(refusals, ended),
-                "terminated": Tally(failed + left, ended), "relays": Tally(more, ended)}
+        told = {
+            "worth": Tally(worth * (ended - in_time), worth * ended),
+            "refused": Tally(refusals, ended),
+            "terminated": Tally(failed + left, ended),
+            "relays": Tally(more, ended),
+        }
         for part in ("", f" class={name}", f" tenant={tenant}", f" site={site}"):
             for what, tally in told.items():
                 out[what + part] += tally
@@ -158,4 +175,3 @@
         out["memory"] = Tally(after["memory"] * ended_all, ended_all)
         out["connections"] = Tally(after["connections"] * ended_all, ended_all)
     return out
-
--- a/wheatroute/rollout/controller.py
+++ b/wheatroute/rollout/controller.py
@@ -1,8 +1,8 @@
-"""The controller of rollouts: looks at all rows, asks the judge, adds the step that the course says.
+"""The controller of rollouts: looks at all rows, asks the judge, adds the step that the progress says.
 
 Owns the pace of looks and what was seen in this stage by this controller. Any number may run: a step is a
 record that the place adds once, and one that dies leaves nothing that another needs but the store. It must
-never judge by rows that stand still, nor add a step to a course that it has not read to the end.
+never judge by rows that stand still, nor add a step to a progress that it has not read to the end.
 """
 
 from __future__ import annotations
@@ -18,8 +18,8 @@
 from wheatroute.agreement.places import MOST, Place, PlaceError
 from wheatroute.agreement.versions import HistoryError
 from wheatroute.rollout import account
-from wheatroute.rollout.course import Course, Kind, Phase
 from wheatroute.rollout.judge import Judge, Sequence, Tally, Verdict
+from wheatroute.rollout.progress import Kind, Phase, RolloutProgress
 
 LOOKS = 0.25  # seconds between two looks
 STALE = 5.0  # seconds after which a row that stands still is nobody's
@@ -72,8 +72,9 @@
                 found[row["name"]] = row if row["name"] not in found or row["ready"] else found[row["name"]]
         return found
 
-    def did(self, rows: Mapping[str, dict[str, Any]], sites: Mapping[str, str], unchanged: set[str]
-            ) -> dict[str, dict[str, Tally]]:
+    def did(
+        self, rows: Mapping[str, dict[str, Any]], sites: Mapping[str, str], unchanged: set[str]
+    ) -> dict[str, dict[str, Tally]]:
         """By node, since the look before; `unchanged` are the nodes that serve as before."""
         out = {}
         slow = self._slow_now(rows, unchanged)
@@ -109,7 +110,7 @@
 
     def __init__(self, place: Place, log: Any) -> None:
         self._place, self._log = place, log
-        self.course = Course()
+        self.progress = RolloutProgress()
         self.name = secrets.token_hex(6)
         self._watch = Watch()
         self._judge: Judge | None = None
@@ -132,25 +133,40 @@
     async def look(self, now: float) -> None:
         """Reads all there is; adds the next step if there is one and it is this controller's turn."""
         self._beat += 1
-        row = {"row": "controller", "name": "controller", "start": self.name, "beat": self._beat,
-               "findings": self.findings[:20], "head": self.course.head}
-        records = await self._place.ask(f"controller.{self.name}", row, self.course.head, self.course.mark)
+        row = {
+            "row": "controller",
+            "name": "controller",
+            "start": self.name,
+            "beat": self._beat,
+            "findings": self.findings[:20],
+            "head": self.progress.head,
+        }
+        records = await self._place.ask(
+            f"controller.{self.name}", row, self.progress.head, self.progress.mark
+        )
         for record in records:
-            self.course.take(record)
+            self.progress.take(record)
             self._began(record, now)
         if len(records) >= MOST:
             return
         rows = await self._place.rows()
-        keepers = {one["name"]: one for one in rows if one.get("row") == "keeper"}
+        supervisors = {one["name"]: one for one in rows if one.get("row") == "keeper"}
         figures = self._watch.fresh([one for one in rows if one.get("row") == "figures"], now)
-        if self.course.plan is None or self.course.phase in (Phase.NONE, Phase.ENDED):
+        if self.progress.plan is None or self.progress.phase in (Phase.NONE, Phase.ENDED):
             return
-        self._see(keepers, figures, now)
+        self._see(supervisors, figures, now)
         verdict, evidence = self._verdict()
         first = self._first([one for one in rows if one.get("row") == "controller"])
         watched = now - self._since if self._since else 0.0
-        step = self.course.step(keepers, watched, now - self._record_at, verdict, evidence,
-                                self._broken(keepers, figures), self._seen_before())
+        step = self.progress.step(
+            supervisors,
+            watched,
+            now - self._record_at,
+            verdict,
+            evidence,
+            self._broken(supervisors, figures),
+            self._seen_before(),
+        )
         if self._silent:
             await self._place.drop(self._silent)
         if step is None or not first:
@@ -158,8 +174,10 @@
         if step["kind"] == Kind.STAGE and self._judge is not None:
             step |= {"seen": self._judge.kept(), "slow": self._slow()}
         if await self._place.add(step):
-            self._log.info("step", **{key: value for key, value in step.items()
-                                      if key in ("kind", "stage", "reason", "how")})
+            self._log.info(
+                "step",
+                **{key: value for key, value in step.items() if key in ("kind", "stage", "reason", "how")},
+            )
 
     def _slow(self) -> dict[str, list[int]]:
         return {name: list(bounds) for name, bounds in self._watch.slow.items()}
@@ -172,12 +190,13 @@
             others[one["start"]] = (beat, looks + 1) if beat == one["beat"] else (one["beat"], 0)
         self._others = others
         self._silent = [f"controller.{start}" for start, (_, looks) in others.items() if looks >= GONE]
-        return self.name <= min([start for start, (_, looks) in others.items() if looks < TAKE_OVER],
-                                default=self.name)
+        return self.name <= min(
+            [start for start, (_, looks) in others.items() if looks < TAKE_OVER], default=self.name
+        )
 
     def _began(self, record: dict[str, Any], now: float) -> None:
         """A record was read: what is watched begins anew."""
-        self._record_at, plan = now, self.course.plan
+        self._record_at, plan = now, self.progress.plan
         kind = record["kind"]
         if plan is None or kind == Kind.HOLD:
             return
@@ -188,38 +207,40 @@
             judge = self._new_judge()
             judge.before = {what: Sequence.from_kept(told) for what, told in record.get("seen", {}).items()}
             if record.get("slow"):
-                self._watch.slow = {name: (int(one), int(other)) for name, (one, other)
-                                    in record["slow"].items()}
+                self._watch.slow = {
+                    name: (int(one), int(other)) for name, (one, other) in record["slow"].items()
+                }
             self._judge, self._since = judge, 0.0
 
     def _new_judge(self) -> Judge:
-        plan = self.course.plan
+        plan = self.progress.plan
         assert plan is not None
         # one that takes over begins to see anew: half of the risk is left for that
         return Judge(plan.margins, plan.risk / (2.0 * len(plan.stages)), account.RATIOS)
 
     def _sides(self) -> tuple[set[str], set[str]]:
         """Nodes of the stage that is watched, or comes next, and those that serve unchanged beside them."""
-        course, plan = self.course, self.course.plan
+        progress, plan = self.progress, self.progress.plan
         assert plan is not None
-        at = course.stage + (course.phase == Phase.BEFORE)
+        at = progress.stage + (progress.phase == Phase.BEFORE)
         if at >= len(plan.stages):
             return set(), set()
-        return set(plan.stages[at].nodes), {name for stage in plan.stages[at + 1:] for name in stage.nodes}
+        return set(plan.stages[at].nodes), {name for stage in plan.stages[at + 1 :] for name in stage.nodes}
 
-    def _see(self, keepers: Mapping[str, dict[str, Any]], figures: Mapping[str, dict[str, Any]],
-             now: float) -> None:
+    def _see(
+        self, supervisors: Mapping[str, dict[str, Any]], figures: Mapping[str, dict[str, Any]], now: float
+    ) -> None:
         """Feeds the judge with what both sides did since the look before."""
-        course, plan = self.course, self.course.plan
-        if course.phase == Phase.BEFORE and plan is not None:
+        progress, plan = self.progress, self.progress.plan
+        if progress.phase == Phase.BEFORE and plan is not None:
             settled = self._since and now - self._since >= SETTLING * plan.before
             self._watch.settle(figures.values(), bool(settled))
         mine, others = self._sides()
-        did = self._watch.did(figures, {name: one["site"] for name, one in keepers.items()}, others)
-        if self._judge is None or course.phase not in (Phase.BEFORE, Phase.STAGE):
+        did = self._watch.did(figures, {name: one["site"] for name, one in supervisors.items()}, others)
+        if self._judge is None or progress.phase not in (Phase.BEFORE, Phase.STAGE):
             return
-        in_stage = course.phase == Phase.STAGE
-        if in_stage and not course.changed(keepers):
+        in_stage = progress.phase == Phase.STAGE
+        if in_stage and not progress.changed(supervisors):
             return
         if not all(name in figures for name in mine):
             return
@@ -239,27 +260,29 @@
         return {what: one.new.mean for what, one in self._judge.before.items()}
 
     def _verdict(self) -> tuple[Verdict, list[str]]:
-        plan = self.course.plan
-        if self._judge is None or plan is None or self.course.phase != Phase.STAGE:
+        plan = self.progress.plan
+        if self._judge is None or plan is None or self.progress.phase != Phase.STAGE:
             return Verdict.UNSURE, []
         verdict, findings = self._judge.verdict(frozenset(plan.watched))
         self.findings = [one.line for one in findings]
         return verdict, self.findings[:20]
 
     def _seen_before(self) -> bool:
-        plan, judge = self.course.plan, self._judge
+        plan, judge = self.progress.plan, self._judge
         return judge is not None and plan is not None and judge.seen_before(frozenset(plan.watched))
 
-    def _broken(self, keepers: Mapping[str, dict[str, Any]], figures: Mapping[str, dict[str, Any]]) -> str:
+    def _broken(
+        self, supervisors: Mapping[str, dict[str, Any]], figures: Mapping[str, dict[str, Any]]
+    ) -> str:
         """What stops a rollout without statistics, at a node that runs the new program or was to."""
-        plan, course = self.course.plan, self.course
-        if plan is None or course.phase == Phase.BACK:
+        plan, progress = self.progress.plan, self.progress
+        if plan is None or progress.phase == Phase.BACK:
             return ""
-        for name, one in keepers.items():
-            if [course.number, plan.new] in one["failed"]:
+        for name, one in supervisors.items():
+            if [progress.number, plan.new] in one["failed"]:
                 return f"{name}: {one['trouble'] or plan.new + ' failed'}"
         for name, row in figures.items():
-            if row["program"] == plan.new and course.target(name) == plan.new and row["lost"]:
+            if row["program"] == plan.new and progress.target(name) == plan.new and row["lost"]:
                 return f"{name}: {row['lost']} requests lost by {plan.new}"
         return ""
 
--- a/wheatroute/rollout/judge.py
+++ b/wheatroute/rollout/judge.py
@@ -108,13 +108,29 @@
 
     def kept(self) -> list[float]:
         """As plain data, for the store."""
-        return [float(self.share), self.count, self.mean, self.square, self.floor, self.new.bad, self.new.of,
-                self.old.bad, self.old.of]
+        return [
+            float(self.share),
+            self.count,
+            self.mean,
+            self.square,
+            self.floor,
+            self.new.bad,
+            self.new.of,
+            self.old.bad,
+            self.old.of,
+        ]
 
     @staticmethod
     def from_kept(told: list[float]) -> Sequence:
-        return Sequence(bool(told[0]), int(told[1]), told[2], told[3], told[4], Tally(told[5], told[6]),
-                        Tally(told[7], told[8]))
+        return Sequence(
+            bool(told[0]),
+            int(told[1]),
+            told[2],
+            told[3],
+            told[4],
+            Tally(told[5], told[6]),
+            Tally(told[7], told[8]),
+        )
 
 
 def _chance(whole: Tally) -> float:
@@ -139,9 +155,11 @@
 
     @property
     def line(self) -> str:
-        return (f"{self.what}: {self.verdict}: new {self.new:.4f}, old {self.old:.4f}; new less old "
-                f"{self.now:+.4f}, before the change {self.before:+.4f}, within {self.radius:.4f}; "
-                f"margin {self.margin:.4f}; {self.blocks} blocks")
+        return (
+            f"{self.what}: {self.verdict}: new {self.new:.4f}, old {self.old:.4f}; new less old "
+            f"{self.now:+.4f}, before the change {self.before:+.4f}, within {self.radius:.4f}; "
+            f"margin {self.margin:.4f}; {self.blocks} blocks"
+        )
 
 
 @dataclass
@@ -179,10 +197,24 @@
         margin = self.margins[what.split(" ", 1)[0]]
         radius = after.radius(risk) + before.interval(risk)
         change = after.mean - before.mean
-        verdict = (Verdict.WORSE if change - radius > EASED * margin else
-                   Verdict.NOT_WORSE if change + radius < margin else Verdict.UNSURE)
-        return Finding(what, verdict, before.mean, after.mean, radius, margin, after.new.mean, after.old.mean,
-                       after.count)
+        verdict = (
+            Verdict.WORSE
+            if change - radius > EASED * margin
+            else Verdict.NOT_WORSE
+            if change + radius < margin
+            else Verdict.UNSURE
+        )
+        return Finding(
+            what,
+            verdict,
+            before.mean,
+            after.mean,
+            radius,
+            margin,
+            after.new.mean,
+            after.old.mean,
+            after.count,
+        )
 
     def verdict(self, wanted: frozenset[str]) -> tuple[Verdict, list[Finding]]:
         """Worse if anything is; no worse once all of `wanted` is known to be no worse."""
--- a/wheatroute/rollout/operator.py
+++ b/wheatroute/rollout/operator.py
@@ -1,7 +1,7 @@
 """What an operator does with rollouts: start, look, hold, go on, go back. Behind `wheatroute rollout`.
 
 Owns the lines that an operator reads and the exit status that a script does. It must never start a rollout
-that some keeper has no program for, nor say that a step was taken when that is not known.
+that some supervisor has no program for, nor say that a step was taken when that is not known.
 """
 
 from __future__ import annotations
@@ -15,37 +15,37 @@
 from wheatroute.agreement.operator import PATIENCE, TRIES, OperatorError, table
 from wheatroute.agreement.places import Directory, Place, PlaceError
 from wheatroute.agreement.versions import HistoryError
-from wheatroute.rollout.course import Course, Kind
 from wheatroute.rollout.plan import Plan
+from wheatroute.rollout.progress import Kind, RolloutProgress
 
 AGAIN = 0.1  # seconds between two tries at a place that did not say
 
 
-async def course_of(place: Place) -> Course:
+async def progress_of(place: Place) -> RolloutProgress:
     """All records."""
-    course = Course()
+    progress = RolloutProgress()
     with trio.fail_after(PATIENCE):
         while True:
-            records = await place.ask("", None, course.head, course.mark)
+            records = await place.ask("", None, progress.head, progress.mark)
             for record in records:
-                course.take(record)
+                progress.take(record)
             if not records:
-                return course
+                return progress
 
 
-async def keepers(place: Place) -> dict[str, dict[str, Any]]:
+async def supervisors(place: Place) -> dict[str, dict[str, Any]]:
     return {one["name"]: one for one in await place.rows() if one.get("row") == "keeper"}
 
 
 async def start(place: Place, plan: Plan, why: str) -> int:
-    """Begins a rollout; returns its number. Each node of the plan must have a keeper with both programs."""
+    """Begins a rollout; returns its number. Each node of the plan needs a supervisor with both programs."""
     if isinstance(place, Directory):
         place.make()
-    rows = await keepers(place)
+    rows = await supervisors(place)
     wrong = []
     for name in [name for stage in plan.stages for name in stage.nodes]:
         if name not in rows:
-            wrong.append(f"{name}: no keeper has told of itself")
+            wrong.append(f"{name}: no supervisor has told of itself")
             continue
         lacks = [one for one in (plan.old, plan.new) if one not in rows[name]["programs"]]
         if lacks:
@@ -54,8 +54,9 @@
             wrong.append(f"{name}: runs {rows[name]['runs'] or 'nothing'}, not {plan.old}")
     if wrong:
         raise OperatorError("\n".join(wrong), 2)
-    return await _add(place, Kind.START, plan=plan.model_dump(), by=getpass.getuser(), when=time.time(),
-                      why=why)
+    return await _add(
+        place, Kind.START, plan=plan.model_dump(), by=getpass.getuser(), when=time.time(), why=why
+    )
 
 
 async def hold(place: Place, reason: str) -> int:
@@ -76,12 +77,12 @@
     doubt = ""
     for _ in range(TRIES):
         try:
-            course = await course_of(place)
-            if doubt and any(one.get("when") == more.get("when") for one in course.records):
-                return course.head
-            record = course.next(kind, **more)
+            progress = await progress_of(place)
+            if doubt and any(one.get("when") == more.get("when") for one in progress.records):
+                return progress.head
+            record = progress.next(kind, **more)
             try:
-                course.take(record)
+                progress.take(record)
             except HistoryError as trouble:
                 raise OperatorError(str(trouble).split(": ", 1)[-1], 3) from trouble
             if await place.add(record):
@@ -94,39 +95,76 @@
 
 async def status(place: Place) -> dict[str, Any]:
     """The last rollout, a row a node, and what the judge sees."""
-    course, rows = await course_of(place), await place.rows()
+    progress, rows = await progress_of(place), await place.rows()
     told = {one["name"]: one for one in rows if one.get("row") == "keeper"}
-    seen = [one for one in rows if one.get("row") == "controller" and one["findings"]
-            and one["head"] == course.head]  # a controller that died may have left what it saw
-    plan = course.plan
-    nodes = [{"name": name, "stage": stage.name, "target": course.target(name),
-              **{key: told.get(name, {}).get(key, absent) for key, absent in (
-                  ("runs", ""), ("changing", False), ("trouble", "no keeper"), ("crashes", 0))}}
-             for stage in (plan.stages if plan else ()) for name in stage.nodes]
-    return {"rollout": course.number, "name": plan.name if plan else "", "phase": str(course.phase),
-            "stage": plan.stages[course.stage].name if plan and course.stage >= 0 else "",
-            "reason": course.reason, "nodes": nodes, "findings": seen[0]["findings"] if seen else []}
+    seen = [
+        one
+        for one in rows
+        if one.get("row") == "controller" and one["findings"] and one["head"] == progress.head
+    ]  # a controller that died may have left what it saw
+    plan = progress.plan
+    nodes = [
+        {
+            "name": name,
+            "stage": stage.name,
+            "target": progress.target(name),
+            **{
+                key: told.get(name, {}).get(key, absent)
+                for key, absent in (
+                    ("runs", ""),
+                    ("changing", False),
+                    ("trouble", "no supervisor"),
+                    ("crashes", 0),
+                )
+            },
+        }
+        for stage in (plan.stages if plan else ())
+        for name in stage.nodes
+    ]
+    return {
+        "rollout": progress.number,
+        "name": plan.name if plan else "",
+        "phase": str(progress.phase),
+        "stage": plan.stages[progress.stage].name if plan and progress.stage >= 0 else "",
+        "reason": progress.reason,
+        "nodes": nodes,
+        "findings": seen[0]["findings"] if seen else [],
+    }
 
 
 def status_lines(told: dict[str, Any]) -> list[str]:
     if not told["rollout"]:
         return ["no rollout yet"]
     head = f"rollout {told['rollout']}, {told['name']}: {told['phase']}"
-    lines = [head + (f" ({told['stage']})" if told["stage"] else "")
-             + (f": {told['reason']}" if told["reason"] else "")]
+    lines = [
+        head
+        + (f" ({told['stage']})" if told["stage"] else "")
+        + (f": {told['reason']}" if told["reason"] else "")
+    ]
     rows = [["node", "stage", "runs", "is to run", "", "trouble"]]
     for one in told["nodes"]:
-        rows.append([one["name"], one["stage"], one["runs"] or "-", one["target"] or "-",
-                     "changes" if one["changing"] else "", one["trouble"]])
+        rows.append(
+            [
+                one["name"],
+                one["stage"],
+                one["runs"] or "-",
+                one["target"] or "-",
+                "changes" if one["changing"] else "",
+                one["trouble"],
+            ]
+        )
     return lines + table(rows) + told["findings"]
 
 
-def log_lines(course: Course) -> list[str]:
+def log_lines(progress: RolloutProgress) -> list[str]:
     """Every step, and the evidence of those that were judged."""
     lines = []
-    for one in course.records:
-        said = {key: value for key, value in one.items()
-                if key in ("stage", "reason", "by", "how", "mixed", "why") and value not in ("", [])}
+    for one in progress.records:
+        said = {
+            key: value
+            for key, value in one.items()
+            if key in ("stage", "reason", "by", "how", "mixed", "why") and value not in ("", [])
+        }
         text = ", ".join(f"{key} {value}" for key, value in said.items())
         lines.append(f"{one['seq']:4} {one['kind']:6} {text}")
         lines += [f"            {line}" for line in one.get("evidence", ())]
--- a/wheatroute/rollout/plan.py
+++ b/wheatroute/rollout/plan.py
@@ -13,8 +13,17 @@
 
 Seconds = Annotated[float, Field(gt=0.0, le=86400.0)]
 # shares; the last three as parts of the old figure
-MARGINS = {"worth": 0.01, "refused": 0.01, "terminated": 0.005, "slow": 0.05, "slowest": 0.005,
-           "relays": 0.02, "cpu": 0.25, "memory": 0.25, "connections": 0.5}
+MARGINS = {
+    "worth": 0.01,
+    "refused": 0.01,
+    "terminated": 0.005,
+    "slow": 0.05,
+    "slowest": 0.005,
+    "relays": 0.02,
+    "cpu": 0.25,
+    "memory": 0.25,
+    "connections": 0.5,
+}
 
 
 class PlanError(Exception):
@@ -88,5 +97,9 @@
     try:
         return Plan.model_validate(told)
     except ValidationError as trouble:
-        raise PlanError("\n".join(f"{path}: {'.'.join(map(str, one['loc'])) or 'the whole'}: {one['msg']}"
-                                  for one in trouble.errors())) from trouble
+        raise PlanError(
+            "\n".join(
+                f"{path}: {'.'.join(map(str, one['loc'])) or 'the whole'}: {one['msg']}"
+                for one in trouble.errors()
+            )
+        ) from trouble
