--- a/wheatroute/rollout/course.py
+++ b/wheatroute/rollout/progress.py
@@ -1,4 +1,4 @@
-"""The course of a rollout: its records, what each node is to run by them, and which step comes next.
+"""The progress of a rollout: its records, what each node is to run by them, and which step comes next.
 
 Owns the chain of steps; free of I/O. A step is a record under the next number, which a place adds once: so
 two controllers, or one that died between two steps and the one after it, never do a step twice. It must never
@@ -43,7 +43,7 @@
 
 
 @dataclass
-class Course:
+class RolloutProgress:
     """All rollouts of an installation, one after the other; what is asked of it is of the last one."""
 
     head: int = 0
@@ -66,8 +66,9 @@
     def take(self, record: dict[str, Any]) -> None:
         """The next record; raises `HistoryError` and stays as it was if it is not that."""
         if record.get("format") != FORMAT:
-            raise HistoryError(f"record {self.head + 1} has form {record.get('format')!r}, this program "
-                               f"knows {FORMAT}")
+            raise HistoryError(
+                f"record {self.head + 1} has form {record.get('format')!r}, this program knows {FORMAT}"
+            )
         if record.get("seq") != self.head + 1 or record.get("before") != self.mark:
             raise HistoryError(f"record {record.get('seq')!r} does not follow record {self.head}")
         kind = record.get("kind")
@@ -88,10 +89,14 @@
             return f"{kind}, and no rollout is under way"
         if kind in (Kind.STAGE, Kind.PASS) and record.get("stage") != self.stage + (kind == Kind.STAGE):
             return f"{kind} {record.get('stage')!r} out of its order"
-        allowed = {Kind.STAGE: (Phase.BEFORE,), Kind.PASS: (Phase.STAGE,), Kind.GO: (Phase.HELD,),
-                   Kind.HOLD: (Phase.BEFORE, Phase.STAGE),
-                   Kind.BACK: (Phase.BEFORE, Phase.STAGE, Phase.HELD),
-                   Kind.END: (Phase.BACK, Phase.BEFORE)}[kind]
+        allowed = {
+            Kind.STAGE: (Phase.BEFORE,),
+            Kind.PASS: (Phase.STAGE,),
+            Kind.GO: (Phase.HELD,),
+            Kind.HOLD: (Phase.BEFORE, Phase.STAGE),
+            Kind.BACK: (Phase.BEFORE, Phase.STAGE, Phase.HELD),
+            Kind.END: (Phase.BACK, Phase.BEFORE),
+        }[kind]
         return "" if self.phase in allowed else f"{kind} while {self.phase}"
 
     def _apply(self, kind: Kind, record: dict[str, Any]) -> None:
@@ -131,22 +136,28 @@
         return [name for stage in self.plan.stages for name in stage.nodes] if self.plan else []
 
     def may_change(self, node: str, rows: Mapping[str, Mapping[str, Any]]) -> bool:
-        """Whether it is a node's turn, by the keepers' rows: never more than `away` of them at once.
+        """Whether it is a node's turn, by the supervisors' rows: never more than `away` of them at once.
 
         A node that could not change counts as done: it serves on with the program that it had.
         """
         if self.plan is None:
             return False
-        ahead = [name for name in self.order()[:self.order().index(node)]
-                 if name in rows and rows[name]["runs"] != self.target(name)
-                 and [self.number, self.target(name)] not in rows[name]["failed"]]
+        ahead = [
+            name
+            for name in self.order()[: self.order().index(node)]
+            if name in rows
+            and rows[name]["runs"] != self.target(name)
+            and [self.number, self.target(name)] not in rows[name]["failed"]
+        ]
         changing = [name for name in self.order() if name != node and name in rows and rows[name]["changing"]]
         return len(ahead) < self.plan.away and len(changing) < self.plan.away
 
     def changed(self, rows: Mapping[str, Mapping[str, Any]]) -> bool:
         """Whether every node that is to have changed has."""
-        return all(name in rows and rows[name]["runs"] == self.target(name) and not rows[name]["changing"]
-                   for name in self.order())
+        return all(
+            name in rows and rows[name]["runs"] == self.target(name) and not rows[name]["changing"]
+            for name in self.order()
+        )
 
     def mixed(self, rows: Mapping[str, Mapping[str, Any]]) -> list[str] | None:
         """Nodes that could not go back; None while some have not tried yet."""
@@ -160,8 +171,16 @@
                 out.append(name)
         return out
 
-    def step(self, rows: Mapping[str, Mapping[str, Any]], watched: float, waited: float, verdict: Verdict,
-             evidence: list[str], broken: str, seen_before: bool) -> dict[str, Any] | None:
+    def step(
+        self,
+        rows: Mapping[str, Mapping[str, Any]],
+        watched: float,
+        waited: float,
+        verdict: Verdict,
+        evidence: list[str],
+        broken: str,
+        seen_before: bool,
+    ) -> dict[str, Any] | None:
         """The record that comes next, if one does.
 
         `watched` is for how long, seconds, this stage's nodes have served changed, or both sides before it;
@@ -202,8 +221,9 @@
 
     def _before(self, plan: Plan, watched: float, seen_before: bool) -> dict[str, Any] | None:
         if self.stage >= 0 and plan.stages[self.stage].ask and self._asked < self.stage:
-            return self.next(Kind.HOLD, reason=f"a person is asked after {plan.stages[self.stage].name}",
-                             evidence=[])
+            return self.next(
+                Kind.HOLD, reason=f"a person is asked after {plan.stages[self.stage].name}", evidence=[]
+            )
         if self.stage + 1 == len(plan.stages):
             return self.next(Kind.END, how="done")
         if watched < plan.before:
--- a/wheatroute/rollout/keeper.py
+++ b/wheatroute/rollout/supervisor.py
@@ -1,8 +1,8 @@
-"""The keeper of a node: runs the program that the rollout says, the new one beside the old, then alone.
+"""The supervisor of a node: runs the program that the rollout says, the new one beside the old, then alone.
 
-Owns the node's processes on its machine, and a file by which a keeper that starts anew finds them. It must
-never stop the old one before the new one is ready, end a process that neither it nor the keeper before it
-started, or take the node with it when it dies.
+Owns the node's processes on its machine, and a file by which a supervisor that starts anew finds them. It
+must never stop the old one before the new one is ready, end a process that neither it nor the supervisor
+before it started, or take the node with it when it dies.
 """
 
 from __future__ import annotations
@@ -26,7 +26,7 @@
 from wheatroute.agreement.places import PlaceError, opened
 from wheatroute.agreement.versions import HistoryError
 from wheatroute.net.boot import address
-from wheatroute.rollout.course import Course
+from wheatroute.rollout.progress import RolloutProgress
 
 LOOKS = 0.2  # seconds between two looks
 FIRST_WAIT, LONGEST_WAIT = 0.2, 30.0  # seconds until a process that died is started anew, doubled each time
@@ -34,7 +34,7 @@
 ANSWERS = 2.0  # seconds for the place
 
 
-class KeeperError(Exception):
+class SupervisorError(Exception):
     """A file that is no use: a line for each thing that is wrong."""
 
 
@@ -43,14 +43,14 @@
 
 
 class Node(Table):
-    """The keeper's file."""
+    """The supervisor's file."""
 
     name: str = Field(min_length=1)
     site: str = ""
     file: str  # the node's own, which PROXY_CONFIG names
     programs: dict[str, list[str]] = Field(min_length=1)  # by name: the words of the command
     first: str  # which of them runs where no rollout says
-    state: str  # the file by which a keeper finds what runs
+    state: str  # the file by which a supervisor finds what runs
     log: str = ""  # of the node; by default beside `state`
     directory: str = ""
     etcd: list[str] = []
@@ -70,16 +70,20 @@
 
 
 def read(path: str) -> Node:
-    """The file, checked whole; raises `KeeperError`."""
+    """The file, checked whole; raises `SupervisorError`."""
     try:
         return Node.model_validate(tomllib.loads(Path(path).read_text(encoding="utf-8")))
     except OSError as trouble:
-        raise KeeperError(f"{path}: cannot be read: {trouble.strerror}") from trouble
+        raise SupervisorError(f"{path}: cannot be read: {trouble.strerror}") from trouble
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as trouble:
-        raise KeeperError(f"{path}: is not TOML: {trouble}") from trouble
+        raise SupervisorError(f"{path}: is not TOML: {trouble}") from trouble
     except ValidationError as trouble:
-        raise KeeperError("\n".join(f"{path}: {'.'.join(map(str, one['loc'])) or 'the whole'}: {one['msg']}"
-                                    for one in trouble.errors())) from trouble
+        raise SupervisorError(
+            "\n".join(
+                f"{path}: {'.'.join(map(str, one['loc'])) or 'the whole'}: {one['msg']}"
+                for one in trouble.errors()
+            )
+        ) from trouble
 
 
 def born(pid: int) -> int:
@@ -103,10 +107,11 @@
 
 
 class Run:
-    """A process of the node, started by this keeper or one before it."""
+    """A process of the node, started by this supervisor or one before it."""
 
-    def __init__(self, program: str, start: str, pid: int, ticks: int,
-                 child: subprocess.Popen[bytes] | None = None) -> None:
+    def __init__(
+        self, program: str, start: str, pid: int, ticks: int, child: subprocess.Popen[bytes] | None = None
+    ) -> None:
         self.program, self.start, self.pid, self.ticks, self._child = program, start, pid, ticks, child
         self.since = time.monotonic()
 
@@ -130,14 +135,19 @@
         return {"program": self.program, "start": self.start, "pid": self.pid, "ticks": self.ticks}
 
 
-class Keeper:
+class Supervisor:
     """One node's."""
 
     def __init__(self, told: Node, log: Any) -> None:
         self._told, self._log = told, log
-        self._place = place({"directory": told.directory} if told.directory else {
-            "etcd": [address(one) for one in told.etcd], "prefix": told.prefix}, random.Random(), ANSWERS / 3)
-        self._course = Course()
+        self._place = place(
+            {"directory": told.directory}
+            if told.directory
+            else {"etcd": [address(one) for one in told.etcd], "prefix": told.prefix},
+            random.Random(),
+            ANSWERS / 3,
+        )
+        self._progress = RolloutProgress()
         self._start = secrets.token_hex(6)
         self._beat = 0
         self._last = told.first  # the program that served last
@@ -155,7 +165,7 @@
     # processes
 
     def _find(self) -> None:
-        """What the keeper before this one left running."""
+        """What the supervisor before this one left running."""
         try:
             kept = json.loads(Path(self._told.state).read_text())
         except (OSError, json.JSONDecodeError):
@@ -177,10 +187,14 @@
         self._log.info("found", **{name: run.pid for name, run in alive.items()})
 
     def _keep(self) -> None:
-        told = {"old": self.old.kept() if self.old else None, "new": self.new.kept() if self.new else None,
-                "leaving": [run.kept() for run in self.leaving], "failed": self._failed,
-                "starting": self._starting,
-                "crashes": self._crashes}
+        told = {
+            "old": self.old.kept() if self.old else None,
+            "new": self.new.kept() if self.new else None,
+            "leaving": [run.kept() for run in self.leaving],
+            "failed": self._failed,
+            "starting": self._starting,
+            "crashes": self._crashes,
+        }
         beside = Path(self._told.state + ".new")
         beside.write_text(json.dumps(told))
         os.rename(beside, self._told.state)
@@ -189,11 +203,19 @@
         start = secrets.token_hex(6)
         self._starting = [program, start]
         self._keep()
-        environment = os.environ | {"PROXY_CONFIG": self._told.file, "WHEATROUTE_PROGRAM": program,
-                                    "WHEATROUTE_START": start}
+        environment = os.environ | {
+            "PROXY_CONFIG": self._told.file,
+            "WHEATROUTE_PROGRAM": program,
+            "WHEATROUTE_START": start,
+        }
         with open(self._told.log or f"{self._told.state}.log", "ab") as log:
-            child = subprocess.Popen(self._told.programs[program], env=environment, stdout=log,
-                                     stderr=subprocess.STDOUT, start_new_session=True)
+            child = subprocess.Popen(
+                self._told.programs[program],
+                env=environment,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                start_new_session=True,
+            )
         self._log.info("started", program=program, pid=child.pid)
         return Run(program, start, child.pid, born(child.pid), child)
 
@@ -210,20 +232,30 @@
                 await trio.sleep(LOOKS)
 
     async def _look(self) -> list[dict[str, Any]] | None:
-        """Says how it stands here, hears the course; the rows of all, or None where the place is away."""
+        """Says how it stands here, hears the progress; the rows of all, or None where the place is away."""
         self._beat += 1
         serving = self.old.program if self.old is not None else ""
-        row = {"row": "keeper", "name": self._told.name, "start": self._start, "beat": self._beat,
-               "site": self._told.site, "runs": serving,
-               "changing": self.new is not None or bool(self.leaving),
-               "failed": self._failed, "trouble": self._trouble, "crashes": self._crashes,
-               "programs": sorted(self._told.programs), "head": self._course.head}
+        row = {
+            "row": "keeper",
+            "name": self._told.name,
+            "start": self._start,
+            "beat": self._beat,
+            "site": self._told.site,
+            "runs": serving,
+            "changing": self.new is not None or bool(self.leaving),
+            "failed": self._failed,
+            "trouble": self._trouble,
+            "crashes": self._crashes,
+            "programs": sorted(self._told.programs),
+            "head": self._progress.head,
+        }
         try:
             with trio.fail_after(ANSWERS):
-                records = await self._place.ask(f"keeper.{self._told.name}", row, self._course.head,
-                                                self._course.mark)
+                records = await self._place.ask(
+                    f"keeper.{self._told.name}", row, self._progress.head, self._progress.mark
+                )
                 for record in records:
-                    self._course.take(record)
+                    self._progress.take(record)
                 rows = await self._place.rows()
                 await self._place.drop(self._gone)
                 self._gone.clear()
@@ -246,26 +278,26 @@
             self._mind_new(self.new, rows or [])
         elif rows is not None and self.old is not None and not self.leaving:
             wanted = self._wanted()
-            if wanted != self.old.program and self._course.may_change(self._told.name, self._rows):
+            if wanted != self.old.program and self._progress.may_change(self._told.name, self._rows):
                 self.new = self._run(wanted)
 
     def _wanted(self) -> str:
         """What the rollout says, unless that failed here or is not known."""
-        target = self._course.target(self._told.name)
+        target = self._progress.target(self._told.name)
         if target is not None and target not in self._told.programs:
             self._note(f"no program {target!r} here")
             self._fail(target)
         running = self.old.program if self.old is not None else self._last
         if target is None:
             return running
-        if [self._course.number, target] not in self._failed:
+        if [self._progress.number, target] not in self._failed:
             return target
-        plan = self._course.plan
+        plan = self._progress.plan
         return plan.old if plan is not None and target == plan.new else running
 
     def _fail(self, program: str) -> None:
-        if [self._course.number, program] not in self._failed:
-            self._failed.append([self._course.number, program])
+        if [self._progress.number, program] not in self._failed:
+            self._failed.append([self._progress.number, program])
 
     def _note(self, trouble: str) -> None:
         if trouble != self._trouble:
@@ -280,8 +312,8 @@
         lived = time.monotonic() - run.since
         self._wait = FIRST_WAIT if lived >= HELD else min(LONGEST_WAIT, 2.0 * self._wait)
         self._not_before = time.monotonic() + self._wait
-        plan = self._course.plan
-        if plan is not None and run.program == plan.new == self._course.target(self._told.name):
+        plan = self._progress.plan
+        if plan is not None and run.program == plan.new == self._progress.target(self._told.name):
             self._fail(run.program)
         self.old = self.new if self.new is not None and self.new.alive else None
         self.new = None if self.old is not None else self.new
@@ -316,9 +348,9 @@
 
 
 async def keep(told: Node, log: Any) -> None:
-    """Runs a keeper until SIGTERM or SIGINT; raises `PlaceError` where no place can be made."""
+    """Runs a supervisor until SIGTERM or SIGINT; raises `PlaceError` where no place can be made."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(Keeper(told, log).run)
+            nursery.start_soon(Supervisor(told, log).run)
             async for _ in signals:
                 nursery.cancel_scope.cancel()
--- a/wheatroute/rollout/telling.py
+++ b/wheatroute/rollout/telling.py
@@ -30,17 +30,25 @@
 
 
 class Telling:
-    """One node's. The environment says which program this is, and under which start its keeper knows it."""
+    """One node's. The environment says which program this is, and by which start its supervisor knows it."""
 
-    def __init__(self, boot: dict[str, Any], clients: Clients, servers: Servers, discovery: Discovery,
-                 following: Any, log: Any) -> None:
+    def __init__(
+        self,
+        boot: dict[str, Any],
+        clients: Clients,
+        servers: Servers,
+        discovery: Discovery,
+        following: Any,
+        log: Any,
+    ) -> None:
         self._name, self._clients, self._servers, self._log = boot["name"], clients, servers, log
         self._discovery, self._following = discovery, following
         self._program = os.environ.get("WHEATROUTE_PROGRAM", "")
         self._start = os.environ.get("WHEATROUTE_START") or secrets.token_hex(6)
         self._place = place(boot["rollout"], random.Random(self._start), PATIENCE / 2.0)
-        self.account = clients.account = Account(boot["request_classes"], boot["tenants"],
-                                                 boot["terms"]["request_classes"])
+        self.account = clients.account = Account(
+            boot["request_classes"], boot["tenants"], boot["terms"]["request_classes"]
+        )
         self._beat = 0
 
     @property
@@ -50,14 +58,21 @@
     def row(self) -> dict[str, Any]:
         """What it tells now."""
         self._beat += 1
-        ready = self._discovery.known and (
-            self._following is None or not self._following.member.acts.careful)
+        ready = self._discovery.known and (self._following is None or not self._following.member.acts.careful)
         used = resource.getrusage(resource.RUSAGE_SELF)
         return self.account.row(now()) | {
-            "row": "figures", "name": self._name, "start": self._start, "program": self._program,
-            "beat": self._beat, "ready": ready, "stopping": self._clients.stopping,
-            "cpu": used.ru_utime + used.ru_stime, "memory": _memory(),
-            "connections": self._servers.open, "at": time.time()}
+            "row": "figures",
+            "name": self._name,
+            "start": self._start,
+            "program": self._program,
+            "beat": self._beat,
+            "ready": ready,
+            "stopping": self._clients.stopping,
+            "cpu": used.ru_utime + used.ru_stime,
+            "memory": _memory(),
+            "connections": self._servers.open,
+            "at": time.time(),
+        }
 
     async def run(self) -> None:
         async with opened(self._place):
