--- a/tests/replication/membership_mutants.py
+++ b/tests/replication/membership_mutants.py
@@ -20,6 +20,11 @@
     return seats
 
 
+def members_in_sync_alone(view, known, synced, seats, tolerate, now):
+    """Fewer than may be lost at once, plus one."""
+    return tuple(seat for seat in seats if seat in synced)
+
+
 def seat_beside_the_lost_one(view, known, synced, tolerate, now):
     """A machine that lost its disk gets a seat beside its old one."""
     seats = list(_SEATS(view, known, synced, tolerate, now))
@@ -96,6 +101,7 @@
 
 MUTANTS = {
     "members that are not in sync": [(reconfiguration, {"_members": all_seats_are_members})],
+    "members fewer than may be lost": [(reconfiguration, {"_members": members_in_sync_alone})],
     "a seat beside the one that was lost": [(reconfiguration, {"_seats": seat_beside_the_lost_one})],
     "a takeover alone": [(takeover, {"takeover_view": takeover_alone})],
     "a takeover that calls all in sync": [(takeover, {"takeover_view": takeover_of_all_that_promised})],
--- a/tests/replication/membership_slices.py
+++ b/tests/replication/membership_slices.py
@@ -74,6 +74,7 @@
         Bounds(depth=3, faults=2, writes=2, kinds=frozenset({"restart", "stand", "vote"})), one_is_back
     ),
     "proposed": Slice(Bounds(depth=5, faults=1, writes=2, kinds=BESIDE_A_PROPOSAL), one_is_back_in_sync),
+    "takeovers": Slice(Bounds(depth=5, faults=1, writes=0, kinds=frozenset({"stand", "vote", "down"}))),
     "five seats": Slice(
         Bounds(
             depth=2,
--- a/tests/replication/test_membership.py
+++ b/tests/replication/test_membership.py
@@ -14,11 +14,13 @@
     "given up": 424,
     "returning": 460,
     "proposed": 9342,
+    "takeovers": 22400,
     "five seats": 1363,
 }
 # a slice in which each fault shows
 SHOWN = {
     "members that are not in sync": "lost disks",
+    "members fewer than may be lost": "takeovers",
     "a seat beside the one that was lost": "lost disks",
     "a takeover alone": "lost disks",
     "a takeover that calls all in sync": "returning",
