Tests: the loop is made busy once the probe sleeps, not perhaps before

Cause: of two tasks that may run, trio takes either first; where the story went on before the probe had begun to sleep, nothing was late and the story waited in vain.

--- a/tests/test_rig_lateness.py
+++ b/tests/test_rig_lateness.py
@@ -3,6 +3,7 @@
 import time
 
 import trio
+import trio.testing
 from asynchronous import story
 
 from wheatroute.rig.lateness import MOST_EXCUSED, LoopLateness
@@ -52,7 +53,7 @@
     lateness = LoopLateness()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(lateness.run)
-        await trio.lowlevel.checkpoint()
+        await trio.testing.wait_all_tasks_blocked()  # the probe sleeps
         start = time.monotonic()
         while time.monotonic() < start + STALL:  # the rig's process is busy
             pass
