Settings: a file is taken once its text stands still; one reader instead of three

Read once more: the watch compared times and sizes, so a copy that keeps both went unseen; a file just being written could be taken half; one that changed between the start and the first look was never taken; a date that is none would have ended a running edge node with a traceback. The seeds were still read by two readers of their own every 2 s without word: they are gone, the watch does it. The test of read_seed_hosts went with that function; test_reload.py looks at the same and more (seeds taken, an unreadable or missing file changes nothing).

--- a/tests/control/virtual_cluster.py
+++ b/tests/control/virtual_cluster.py
@@ -274,15 +274,12 @@
 
 @contextmanager
 def _patched_replicator(cluster):
-    kept = {
-        name: getattr(replicator_module, name) for name in ("Links", "Random", "read_seed_hosts", "secrets")
-    }
+    kept = {name: getattr(replicator_module, name) for name in ("Links", "Random", "secrets")}
     replicator_module.Links = lambda identity, address, receive, log: VirtualLinks(
         cluster, identity, address, receive
     )
     replicator_module.Random = lambda: Random(cluster.chance.random())
     replicator_module.secrets = _DrawnNonces(cluster.chance)
-    replicator_module.read_seed_hosts = lambda settings: cluster.seeds
     try:
         yield
     finally:
--- a/tests/edge/test_reload.py
+++ b/tests/edge/test_reload.py
@@ -1,6 +1,7 @@
 """A running process takes a changed settings file whole; by SIGHUP and without: see `test_role`."""
 
 import logging
+import os
 
 import pytest
 from control.test_nodes import HOSTS, settings
@@ -48,7 +49,7 @@
     file = watched()
     assert not file.changed()
     path.write_text(LATER)
-    assert file.changed()
+    assert not file.changed() and file.changed()  # it may just be being written
     assert file.read() == parse_settings(LATER) and not file.changed()
     (line,) = caplog.records
     assert line.message == "settings-taken" and line.needs_restart == []
@@ -67,14 +68,36 @@
 @pytest.mark.parametrize("text", ["half a fi: [", FILE.replace("ip:", "pi:"), None])
 def test_of_a_file_that_is_no_use_nothing_is_taken(path, text, caplog):
     file = watched()
+    file.read()
+    caplog.clear()
     if text is None:
         path.unlink()
     else:
         path.write_text(text)
-    assert file.changed() and file.read() == parse_settings(FILE)
+    assert not file.changed() and file.changed() and file.read() == parse_settings(FILE)
     assert [line.message for line in caplog.records] == ["settings-refused"]
     path.write_text(LATER)  # whole, a moment later, and without another signal
+    assert not file.changed() and file.changed() and file.read() == parse_settings(LATER)
+
+
+def test_a_file_is_taken_once_it_stands_still_whatever_its_size_and_time(path):
+    file = watched()
+    half = LATER[: LATER.index("tolerate")]  # a whole file by chance
+    for text in (half, half + "tolerate:", LATER):
+        path.write_text(text)
+        assert not file.changed()
     assert file.changed() and file.read() == parse_settings(LATER)
+    status = path.stat()
+    path.write_text(LATER.replace("grace_s: 5", "grace_s: 6"))
+    os.utime(path, ns=(status.st_atime_ns, status.st_mtime_ns))
+    assert not file.changed() and file.changed() and file.read().bounds.grace_s == 6
+
+
+def test_a_file_that_changed_before_the_first_look_is_taken(path):
+    settings = parse_settings(FILE)  # as the process read it
+    path.write_text(LATER)
+    file = SettingsFile(settings, logging.getLogger("test-reload"))
+    assert not file.changed() and file.changed() and file.read() == parse_settings(LATER)
 
 
 def test_a_control_node_takes_what_may_be_lost_and_the_bounds(tmp_path):
--- a/tests/edge/test_settings.py
+++ b/tests/edge/test_settings.py
@@ -4,7 +4,7 @@
 from click.testing import CliRunner
 
 from wheatroute.cli import main
-from wheatroute.cluster.settings import SettingsError, parse_settings, read_seed_hosts, read_settings
+from wheatroute.cluster.settings import SettingsError, parse_settings
 
 GOOD = """
 node: "edge-1"
@@ -38,6 +38,7 @@
         (("[7500, 7515]", "[7500]"), "port_range"),
         (("zone: ", "zone: ["), "not YAML"),
         (("drain_ms: 2000", "drain_ms: soon"), "bounds.drain_ms"),
+        (("later: [1, 2]", "later: 2026-13-45"), "not YAML"),
     ],
 )
 def test_a_mistake_is_told_in_one_line(change, named):
@@ -63,19 +64,6 @@
     assert (result.exit_code, result.output) == (2, f"wheatroute: listen: {line}\n")
 
 
-def test_seeds_are_read_anew_and_kept_where_the_file_is_no_use(tmp_path):
-    path = tmp_path / "boot.yaml"
-    path.write_text(GOOD)
-    environment = {"WHEATROUTE_SETTINGS": str(path)}
-    settings = read_settings(environment)
-    path.write_text(GOOD.replace("10.2.0.20", "10.9.0.9"))
-    assert read_seed_hosts(settings, environment) == ("10.1.0.6", "10.9.0.9")
-    path.write_text("half a fi: [")
-    assert read_seed_hosts(settings, environment) == ("10.1.0.6", "10.2.0.20")
-    path.unlink()
-    assert read_seed_hosts(settings, environment) == ("10.1.0.6", "10.2.0.20")
-
-
 @pytest.mark.parametrize("role", ["edge", "control"])
 def test_a_role_says_what_it_is_and_ends_with_2_for_a_bad_file(role, tmp_path, monkeypatch):
     assert "Usage" in CliRunner().invoke(main, [role, "--help"]).output
--- a/wheatroute/cluster/reload.py
+++ b/wheatroute/cluster/reload.py
@@ -1,5 +1,7 @@
 """The settings file of a running process: read again on SIGHUP, and when it has changed without a signal.
 
+Its text is compared, not its time or size: a copy may keep both.
+
 A file is taken whole or not at all. What a process cannot change while it runs (its addresses, its folder,
 what the machine gives it) stays as it was until the next start, and is named in the log.
 """
@@ -9,16 +11,15 @@
 import logging
 import os
 from collections.abc import Mapping
+from pathlib import Path
 
 import msgspec
 
-from wheatroute.cluster.settings import SETTINGS_VARIABLE, Settings, SettingsError, read_settings
+from wheatroute.cluster.settings import Settings, SettingsError, parse_settings, settings_path
 
 LOOK_INTERVAL = 1.0  # seconds between two looks at the file
 NEEDS_RESTART = ("node", "ip", "listen", "port_range", "role", "data_dir", "bootstrap", "limits")
 
-_Signature = tuple[int, int, int]  # inode, size, time of the last change in nanoseconds
-
 
 class SettingsFile:
     """The file and what was taken from it; calls read a small local file and may block that long."""
@@ -29,18 +30,23 @@
         self.settings = settings
         self._log = log
         self._environment = environment
-        self._seen = self._signature()
+        # what the settings were read from isn't known: the file may have changed since
+        self._taken = self._looked = b""
 
     def changed(self) -> bool:
-        """Whether the file is another one, or was written, since it was read last."""
-        return self._signature() != self._seen
+        """Whether the file holds something else than was taken last, and did so at the look before.
+
+        Two looks, so that a file which is just being written is not taken half.
+        """
+        before, self._looked = self._looked, self._content()
+        return self._looked == before != self._taken
 
     def read(self) -> Settings:
         """The settings in force from now on; those of before where the file can't be used."""
-        self._seen = self._signature()
+        self._taken = self._looked = self._content()
         try:
-            told = read_settings(self._environment)
-        except SettingsError as error:
+            told = parse_settings(self._taken.decode())
+        except (SettingsError, UnicodeDecodeError) as error:
             self._log.error("settings-refused", extra={"trouble": str(error)})
             return self.settings
         before, self.settings = self.settings, _merged(self.settings, told)
@@ -53,12 +59,11 @@
         )
         return self.settings
 
-    def _signature(self) -> _Signature | None:
+    def _content(self) -> bytes:
         try:
-            status = os.stat(self._environment.get(SETTINGS_VARIABLE, ""))
-        except OSError:
-            return None
-        return status.st_ino, status.st_size, status.st_mtime_ns
+            return Path(settings_path(self._environment)).read_bytes()
+        except (SettingsError, OSError):
+            return b""
 
 
 def _merged(before: Settings, told: Settings) -> Settings:
--- a/wheatroute/cluster/settings.py
+++ b/wheatroute/cluster/settings.py
@@ -116,10 +116,10 @@
     """The settings that a file's text holds; raises SettingsError with one clear line."""
     try:
         settings = msgspec.convert(yaml.load(text, Loader=_Loader), Settings, strict=False)
-    except yaml.YAMLError as error:
-        raise SettingsError(f"not YAML: {' '.join(str(error).split())}") from error
     except msgspec.ValidationError as error:
         raise SettingsError(str(error)) from error
+    except (yaml.YAMLError, ValueError) as error:  # a date that is none is the latter
+        raise SettingsError(f"not YAML: {' '.join(str(error).split())}") from error
     for address in (*settings.seeds, *settings.listen.values()):
         split_address(address)
     first, last = settings.port_range
@@ -128,19 +128,17 @@
     return settings
 
 
-def read_seed_hosts(known: Settings, environment: Mapping[str, str] = os.environ) -> tuple[str, ...]:
-    """The seeds that the file names now, or those `known` where it can't be read."""
-    try:
-        return read_settings(environment).seed_hosts
-    except SettingsError:
-        return known.seed_hosts
+def settings_path(environment: Mapping[str, str] = os.environ) -> str:
+    """Where the settings file is; raises SettingsError if that isn't said."""
+    path = environment.get(SETTINGS_VARIABLE, "")
+    if not path:
+        raise SettingsError(f"{SETTINGS_VARIABLE} is not set")
+    return path
 
 
 def read_settings(environment: Mapping[str, str] = os.environ) -> Settings:
     """The settings of this process; raises SettingsError with the path in its text."""
-    path = environment.get(SETTINGS_VARIABLE, "")
-    if not path:
-        raise SettingsError(f"{SETTINGS_VARIABLE} is not set")
+    path = settings_path(environment)
     try:
         with open(path, encoding="utf-8") as source:
             return parse_settings(source.read())
--- a/wheatroute/edge/control_client.py
+++ b/wheatroute/edge/control_client.py
@@ -17,7 +17,6 @@
     UsageAnswer,
     UsageReport,
 )
-from wheatroute.cluster.settings import read_seed_hosts
 from wheatroute.edge.node import EdgeNode
 from wheatroute.edge.routing import RoutingTable
 
@@ -31,7 +30,6 @@
 LEASE_HOSTS = 2  # that a request for tokens asks: one that leads no more names the next
 LEASE_PAUSE = 0.3  # seconds after a host gave no answer in which no client is kept waiting for one
 ALONE_AFTER = 1.5  # seconds without word from the primary
-SEEDS_INTERVAL = 2.0  # seconds between two looks at the settings file while there is no word
 MEDIA = {"Content-Type": "application/msgpack"}
 BROKEN_CONNECTION = (httpx.ReadError, httpx.WriteError, httpx.CloseError, httpx.RemoteProtocolError)
 
@@ -43,7 +41,6 @@
         self._node = node
         self._port = node.settings.internal_port
         self._seeds = node.settings.seed_hosts
-        self._seeds_read = -1e9
         self._hosts: list[str] = list(self._seeds)
         self._primary = self._hosts[0] if self._hosts else ""
         self._epoch = -1
@@ -74,19 +71,11 @@
                 if await self._poll():
                     named = False
                     continue
-                self._look_for_seeds()
                 # a primary that was named is asked at once, unless it was named by one that was named itself
                 named = not named and self._named and self._primary != host
                 if not named:
                     await trio.sleep(PAUSE * (0.5 + self._node.chance.random()))
 
-    def _look_for_seeds(self) -> None:
-        """After a while without word the settings file may name nodes that are there."""
-        now = trio.current_time()
-        if self.alone and now - self._seeds_read > SEEDS_INTERVAL:
-            self._seeds_read = now
-            self.know_seeds(read_seed_hosts(self._node.settings))
-
     def know_seeds(self, seeds: tuple[str, ...]) -> None:
         """Adds these seeds to the nodes that can be asked."""
         self._seeds = seeds
--- a/wheatroute/replication/replicator.py
+++ b/wheatroute/replication/replicator.py
@@ -10,7 +10,7 @@
 from itertools import count
 from random import Random
 
-from wheatroute.cluster.settings import Settings, read_seed_hosts
+from wheatroute.cluster.settings import Settings
 from wheatroute.replication.core import ReplicationCore
 from wheatroute.replication.effects import Committed, Effect, ReadDone, Save, Send, WriteDone
 from wheatroute.replication.links import Links
@@ -31,7 +31,6 @@
 )
 
 TICK = 0.05  # seconds
-SEEDS_INTERVAL = 2.0  # seconds between two looks at the settings file while nobody leads
 STOP_RESERVE = 3.0  # seconds of the time until SIGKILL that are left for what comes after replication
 SHORTEST_STOP = (
     0.8  # seconds that a node which stops waits for others to take over, however little time it has
@@ -120,16 +119,9 @@
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
-        seeds_read = loop.time()
         while True:
             self._carry_out(self.core.tick(loop.time()))
             self._share_again(loop.time())
-            if (
-                self.core.silent_for(loop.time()) > SEEDS_INTERVAL
-                and loop.time() > seeds_read + SEEDS_INTERVAL
-            ):
-                seeds_read = loop.time()
-                self.know_seeds()
             await asyncio.sleep(TICK)
 
     async def _scrub(self) -> None:
@@ -142,10 +134,6 @@
                 self._log.error("scrub", extra={"damaged": damaged})
                 self._carry_out(self.core.rewrite(loop.time()))
 
-    def know_seeds(self) -> None:
-        """Adds the seeds that the settings file names now to the nodes that can be asked."""
-        self.core.know(read_seed_hosts(self._settings))
-
     def take_settings(self, settings: Settings) -> None:
         """The settings file has changed: seeds, and how many nodes may be lost at once."""
         self._settings = settings
