Quotas: log lines of a new primary's levels and of what nodes used without one

The incident's logs told nothing of either. One line for a tenant and a time without word, one for each takeover.

--- a/wheatroute/control/service.py
+++ b/wheatroute/control/service.py
@@ -161,6 +161,12 @@
             return
         self._registry.remember(now, soft.instances)
         self._quotas.restore(self._told_levels() or told_levels(soft))
+        self._log_levels()
+
+    def _log_levels(self) -> None:
+        """What tenants' buckets hold at the beginning of this node's lead, in tokens."""
+        levels = {tenant: round(held.limit) for tenant, held in self._quotas.levels().items()}
+        self._log.info("quota-levels", extra={"epoch": self.replicator.core.view.epoch, "levels": levels})
 
     def _told_levels(self) -> dict[str, BucketLevels]:
         """What buckets held by the word that came after the soft state, if any did."""
--- a/wheatroute/edge/control_client.py
+++ b/wheatroute/edge/control_client.py
@@ -18,6 +18,7 @@
     UsageReport,
 )
 from wheatroute.edge.node import EdgeNode
+from wheatroute.edge.quota_leases import AloneSpell
 from wheatroute.edge.routing import RoutingTable
 
 POLL_WAIT = 0.7  # seconds that the primary may hold a poll
@@ -189,9 +190,22 @@
         self._node.nodes = answer.edges
         self._node.selection.told(answer.servers)
         for tenant, grant in answer.grants.items():
-            self._node.quotas.granted(tenant, grant, trio.current_time())
+            spell = self._node.quotas.granted(tenant, grant, trio.current_time())
+            if spell is not None:
+                self._log_alone(spell)
         return True
 
+    def _log_alone(self, spell: AloneSpell) -> None:
+        self._node.log.info(
+            "quota-alone",
+            extra={
+                "tenant": spell.tenant,
+                "for_s": round(spell.seconds, 2),
+                "tokens": round(spell.tokens),
+                "nodes": spell.nodes,
+            },
+        )
+
     async def _report_regularly(self) -> None:
         """Tells what this node has at servers, and gives back what it doesn't need."""
         node = self._node
--- a/wheatroute/edge/quota_leases.py
+++ b/wheatroute/edge/quota_leases.py
@@ -4,6 +4,8 @@
 
 from math import inf
 
+import msgspec
+
 from wheatroute.cluster.configuration import Tenant
 from wheatroute.cluster.messages import QuotaGrant
 
@@ -16,6 +18,15 @@
 ALONE_SLACK = 0.3  # of what the rule allows beyond the limit that nodes without word use together
 
 
+class AloneSpell(msgspec.Struct, frozen=True):
+    """A time without word from the primary, and the tokens that this node gave itself meanwhile."""
+
+    tenant: str
+    seconds: float
+    tokens: float
+    nodes: int  # edge nodes that its part was reckoned by
+
+
 class TenantLease:
     """Tokens of one tenant that this node may use."""
 
@@ -30,6 +41,9 @@
         "alone",
         "filled_at",
         "credited_at",
+        "alone_since",
+        "alone_tokens",
+        "alone_nodes",
     )
 
     def __init__(self) -> None:
@@ -43,6 +57,9 @@
         self.alone = False  # since then this node lives on its own part
         self.filled_at = 0.0
         self.credited_at = -inf  # when this node last began to live on its own part with something in hand
+        self.alone_since = 0.0
+        self.alone_tokens = 0.0  # that it has given itself since then
+        self.alone_nodes = 0
 
 
 class QuotaLeases:
@@ -90,12 +107,16 @@
         """A request that was charged never went out."""
         self._lease(tenant).balance += tokens
 
-    def granted(self, tenant: str, grant: QuotaGrant, now: float) -> None:
-        """The primary's answer."""
+    def granted(self, tenant: str, grant: QuotaGrant, now: float) -> AloneSpell | None:
+        """The primary's answer; what a time without one came to, if this ends one."""
         lease = self._lease(tenant)
+        spell = None
+        if lease.alone:
+            spell = AloneSpell(tenant, now - lease.alone_since, lease.alone_tokens, lease.alone_nodes)
         lease.balance += grant.tokens
         lease.wait_s, lease.own_rate, lease.own_tokens = grant.wait_s, grant.own_rate, grant.own_tokens
         lease.heard, lease.alone = now, False
+        return spell
 
     def wait(self, tenant: str) -> float:
         """Seconds after which a refused client should come back."""
@@ -115,10 +136,12 @@
         any. Its part of what the bucket held then, and of the slack, it has at once, but once in a window.
         """
         lease = self._lease(tenant.name)
+        before = lease.balance
         reserve = ALONE_SLACK * slack / max(1, nodes)
         begins = not lease.alone
         if begins:
             lease.alone = True
+            lease.alone_since, lease.alone_tokens, lease.alone_nodes = now, 0.0, nodes
             if now - lease.heard > OWN_RATE_VALID_S:
                 # its clients' need is another one by now, and other nodes' with it
                 lease.own_rate, lease.own_tokens, lease.heard = 0.0, 0.0, now
@@ -132,6 +155,7 @@
         most = reserve + max(rate * ALONE_KEEP_S, ahead)
         lease.balance = min(most, lease.balance + rate * (now - lease.filled_at))
         lease.filled_at = now
+        lease.alone_tokens += lease.balance - before
 
     def tenants(self) -> list[str]:
         """All tenants with a lease."""
