Quotas: a new primary goes on from what was told and from what nodes have used

Cause: a follower knows no tenants until it leads and has committed the configuration; the levels that were shared with it were restored 6 ms before that, into no buckets, so each new primary began with 0.4 of a burst that had been used. Beside it: what nodes used of their own part was never taken out, and what they didn't use was given back as though it had been granted; and a primary counted edge nodes from one up, by which nodes divide their reserve.

Change: levels wait for the tenants; nodes tell each new primary what they used within the last window, and it works out what the bucket can have held; what is used without a grant is told and taken out once; own parts can't be used while a primary answers; the number of nodes is shared.

--- /dev/null
+++ b/tests/control/test_quota_accounts.py
@@ -0,0 +1,161 @@
+"""What nodes used without a primary, or before this one began, and what its buckets begin with."""
+
+import pytest
+
+from wheatroute.cluster.configuration import Tenant
+from wheatroute.cluster.messages import USAGE_SLOT_S, QuotaGrant, QuotaNeed, UsageReport
+from wheatroute.control.earlier_use import EarlierUse
+from wheatroute.control.edge_nodes import NODE_LOST, EdgeNodes
+from wheatroute.control.quotas import BucketLevels, QuotaBuckets, answer
+from wheatroute.edge.quota_leases import QuotaLeases
+from wheatroute.edge.usage_history import UsageHistory
+
+RATE, BURST, WINDOW_S = 1000.0, 500.0, 8.0
+TENANT = Tenant("t", ("k",), unit="token_usage", rate_per_s=RATE, burst=BURST)
+
+
+def successor(nodes=3, levels=None, age=0.0):
+    """A new primary's buckets, as they are made when it is elected: the tenants are known last."""
+    it = QuotaBuckets(0.0, 0.0, first=False)
+    it.begin(0.0, nodes, WINDOW_S)
+    if levels is not None:
+        it.restore({"t": BucketLevels(levels, 0.0)}, age)
+    it.configure([TENANT], 0.0)
+    return it
+
+
+def holds(it):
+    return it.levels()["t"].limit
+
+
+def tell(it, node, recent=(), now=0.0, reach_s=WINDOW_S, alone=0.0, alone_told=0.0):
+    need = QuotaNeed(0.0, 0.0, 0.0, alone, alone_told, tuple(recent))
+    return answer(it, EdgeNodes(), now, UsageReport(node, {"t": need}, recent_s=reach_s))
+
+
+def test_levels_that_were_told_wait_for_the_tenants():
+    assert holds(successor(levels=1.0)) == 1.0
+    # the rate of the time since counts, and no bucket begins with more than without them
+    assert holds(successor(levels=1.0, age=0.1)) == 101.0
+    assert holds(successor(levels=BURST, age=1.0)) == 0.4 * BURST
+    assert holds(successor(levels=1.0, age=5.0)) == 1.0
+
+
+def test_a_tenant_that_loses_its_limit_and_gets_it_back_has_used_what_it_had():
+    it = successor()
+    it.grant(0.0, "a", "t", QuotaNeed(150.0))
+    it.configure([Tenant("t", ("k",))], 0.0)
+    it.configure([TENANT], 0.0)
+    assert holds(it) == 50.0
+
+
+@pytest.mark.parametrize("levels", [BURST, 1.0, None])
+def test_once_all_nodes_have_told_what_they_used_the_bucket_holds_what_that_leaves(levels):
+    it = successor(levels=levels)
+    tell(it, "a", [100])
+    tell(it, "b", [100])
+    assert holds(it) <= 0.4 * BURST
+    tell(it, "c")
+    assert holds(it) == pytest.approx(BURST + RATE * USAGE_SLOT_S / 2 - 200)
+
+
+def test_what_was_granted_meanwhile_stays_granted():
+    it = successor(levels=BURST)
+    it.grant(0.0, "a", "t", QuotaNeed(150.0))
+    for node in "abc":
+        tell(it, node, [200])
+    assert holds(it) == pytest.approx(BURST + RATE * USAGE_SLOT_S / 2 - 600 - 150)
+
+
+def test_a_node_that_tells_twice_counts_once():
+    it = successor()
+    for _ in range(3):
+        tell(it, "a", [450])
+    assert holds(it) == pytest.approx(BURST + RATE * USAGE_SLOT_S / 2 - 450)
+
+
+def test_where_a_process_is_too_young_to_know_what_was_used_nothing_is_added():
+    it = successor()
+    for node, reach_s in (("a", WINDOW_S), ("b", 1.0), ("c", WINDOW_S)):
+        tell(it, node, [10], reach_s=reach_s)
+    assert holds(it) == 0.4 * BURST
+
+
+def test_any_span_before_counts():
+    use = EarlierUse()
+    use.add(
+        [0.0] * 8 + [600.0], 0.0
+    )  # all at once, a good two seconds ago: the rate has filled the bucket since
+    assert use.most_left(RATE, BURST) == BURST
+    use.add([400.0] * 4, 0.0)  # and more than the rate since then
+    assert use.most_left(RATE, BURST) == pytest.approx(BURST + RATE * 3.5 * USAGE_SLOT_S - 1600)
+    later = EarlierUse()
+    later.add([0.0, 0.0, 400.0], 2 * USAGE_SLOT_S)  # told half a second later
+    assert later.most_left(RATE, BURST) == pytest.approx(BURST + RATE * USAGE_SLOT_S / 2 - 400)
+
+
+def test_what_was_used_alone_is_taken_out_once_however_often_it_is_told():
+    it = successor()
+    before = holds(it)
+    for _ in range(3):
+        it.grant(0.0, "a", "t", QuotaNeed(alone=70.0, alone_told=20.0))
+    assert holds(it) == before - 50
+    it.grant(0.0, "a", "t", QuotaNeed(alone=30.0))  # another process of that name
+    assert holds(it) == before - 80
+    # what an account holds is no debt besides
+    other = successor()
+    tell(other, "a", [50], alone=50.0)
+    tell(other, "a", [50], alone=60.0)
+    assert holds(other) == 0.4 * BURST - 10
+
+
+def test_a_bucket_owes_two_seconds_of_its_rate_at_most():
+    it = successor()
+    it.grant(0.0, "a", "t", QuotaNeed(alone=1e9))
+    assert holds(it) == -2 * RATE
+    # as after a lower limit: what was used under the one before must not stop the tenant altogether
+    lowered = successor()
+    tell(lowered, "a", [100_000] * 8)
+    assert holds(lowered) == -2 * RATE
+    assert lowered.grant(3.0, "a", "t", QuotaNeed(400.0)).tokens == 400.0
+
+
+def test_a_primary_that_has_just_begun_counts_the_nodes_that_the_one_before_counted():
+    nodes = EdgeNodes(10.0, 63)
+    nodes.heard(10.1, "a")
+    assert nodes.count(10.1) == 63
+    nodes.heard(10.0 + NODE_LOST, "a")
+    assert nodes.count(10.0 + NODE_LOST) == 1
+    assert EdgeNodes(10.0).count(10.1) == 1
+
+
+def test_a_node_tells_what_it_used_of_its_own_part_and_uses_none_of_it_while_a_primary_answers():
+    lease = QuotaLeases(WINDOW_S)
+    lease.granted("t", QuotaGrant(30.0, 0.0, 100.0, 100.0), 1.0)
+    lease.refill_alone(TENANT, 1.0, 4, slack=0.0)
+    assert lease.take("t", 80.0)  # 30 of them were granted
+    need = lease.need("t", 0.0, 0.0, 1.0, recent=False)
+    assert (need.alone, need.alone_told, need.recent) == (50.0, 0.0, ())
+    spell = lease.granted("t", QuotaGrant(0.0), 1.5, told_alone=need.alone)
+    assert spell is not None and (spell.tokens, spell.nodes) == (50.0, 4)
+    assert not lease.take("t", 1.0)
+    assert lease.need("t", 0.0, 0.0, 1.5, recent=False).alone_told == 50.0
+
+
+def test_an_account_holds_what_was_used_and_what_is_in_hand():
+    lease = QuotaLeases(WINDOW_S)
+    lease.granted("t", QuotaGrant(100.0), 1.0)
+    lease.asked("t", 60.0, 1.0)
+    assert lease.take("t", 60.0)
+    lease.give_back("t", 20.0)
+    assert lease.need("t", 0.0, 0.0, 1.0 + 2 * USAGE_SLOT_S, recent=True).recent == (60, 0, 40)
+
+
+def test_a_history_forgets_what_lies_further_back():
+    history = UsageHistory(1.0)
+    for step in range(1000):
+        history.add(step / 10, 1.0)
+    found = history.by_age(99.9)
+    assert len(found) == 1.0 / USAGE_SLOT_S + 1 and sum(found) == pytest.approx(12, abs=2)
+    assert len(history._slots) <= 1.0 / USAGE_SLOT_S + 2
+    assert UsageHistory(1.0).by_age(5.0) == []
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -64,6 +64,7 @@
         self.core = Core()
         self.serving = True
         self.hint = self.levels = b""
+        self.levels_at = 0.0
         self.acknowledges = self.confirms = self.takes_hints = True
         self.hints = []
 
--- a/wheatroute/cluster/messages.py
+++ b/wheatroute/cluster/messages.py
@@ -9,6 +9,7 @@
 UPDATES_PATH = "/updates"
 USAGE_PATH = "/usage"
 MEDIA_TYPE = "application/msgpack"
+USAGE_SLOT_S = 0.25  # seconds of one slot in which a node keeps what tenants used of late
 
 
 class InstanceState(Enum):
@@ -84,11 +85,19 @@
 
 
 class QuotaNeed(msgspec.Struct, frozen=True):
-    """Tokens that a node wants of a tenant's bucket, and those that it gives back unused."""
+    """Tokens that a node wants of a tenant's bucket, and those that it gives back unused.
+
+    `alone` counts the tokens that its process has used without a primary's grant, and `alone_told` how many
+    of them a primary has heard of and answered. `recent` is told to a new primary: all that was used of late,
+    by slots of `USAGE_SLOT_S`, the newest first; the tokens that the node holds count as used.
+    """
 
     wanted: float = 0.0
     returned: float = 0.0
     rate: float = 0.0  # tokens a second that its clients asked for of late
+    alone: float = 0.0
+    alone_told: float = 0.0
+    recent: tuple[int, ...] = ()
 
 
 class QuotaGrant(msgspec.Struct, frozen=True):
@@ -111,11 +120,17 @@
     tenants: dict[str, QuotaNeed]
     servers: dict[str, ServerLoad] | None = None  # None: unchanged
     silent_for: dict[str, float] | None = None  # seconds, by server that answers nothing; None: unchanged
+    recent_s: float | None = None  # seconds that `recent` of the tenants goes back; None: it isn't told
 
 
 class UsageAnswer(msgspec.Struct, frozen=True):
-    """What a node is granted, and what other nodes have at servers."""
+    """What a node is granted, and what other nodes have at servers.
+
+    `lead` is the epoch in which the primary began to lead: a node that reads another one than before tells
+    what its tenants used of late.
+    """
 
     grants: dict[str, QuotaGrant]
     servers: dict[str, ServerLoad]
     edges: int
+    lead: int = -1
--- a/wheatroute/control/edge_nodes.py
+++ b/wheatroute/control/edge_nodes.py
@@ -10,9 +10,15 @@
 
 
 class EdgeNodes:
-    """The edge nodes that were heard of late, and what they have at servers."""
+    """The edge nodes that were heard of late, and what they have at servers.
 
-    def __init__(self) -> None:
+    A primary that has just begun has heard few of them: until it has listened long enough there are at least
+    as many as the one before had counted.
+    """
+
+    def __init__(self, now: float = 0.0, counted_before: int = 0) -> None:
+        self._settled_at = now + NODE_LOST
+        self._counted_before = counted_before
         self._heard: dict[str, float] = {}
         self._servers: dict[str, dict[str, ServerLoad]] = {}
 
@@ -25,7 +31,8 @@
         for node in [node for node, heard in self._heard.items() if now - heard > NODE_LOST]:
             del self._heard[node]
             self._servers.pop(node, None)
-        return max(1, len(self._heard))
+        before = self._counted_before if now < self._settled_at else 0
+        return max(1, len(self._heard), before)
 
     def report(self, now: float, report: UsageReport) -> None:
         """Takes in what a node has at servers."""
--- a/wheatroute/control/service.py
+++ b/wheatroute/control/service.py
@@ -48,13 +48,14 @@
     instances: tuple[Instance, ...]
     buckets: dict[str, float]  # those of the limits
     extras: dict[str, float] = {}  # those beyond them
+    edges: int = 0  # edge nodes that were there
 
 
-def soft_state(instances: tuple[Instance, ...], levels: dict[str, BucketLevels]) -> SoftState:
+def soft_state(instances: tuple[Instance, ...], levels: dict[str, BucketLevels], edges: int) -> SoftState:
     """As it is sent and kept."""
     limits = {tenant: held.limit for tenant, held in levels.items()}
     extras = {tenant: held.extra for tenant, held in levels.items()}
-    return SoftState(instances, limits, extras)
+    return SoftState(instances, limits, extras, edges)
 
 
 def told_levels(soft: SoftState) -> dict[str, BucketLevels]:
@@ -77,6 +78,7 @@
         self._edges = EdgeNodes()
         self._suspicions = self._new_suspicions()
         self._shared_version: RegistryVersion | None = None
+        self._shared_edges = 0
         self._shared = (-1, 0)
         self._shared_at = 0.0
         self._sharing: asyncio.Task[Order] | None = None
@@ -143,8 +145,9 @@
             self._registry = Registry(core.view.epoch, self._settings.heartbeat_ms / 1000.0, now)
             self._quotas = self._new_quotas(first=core.view.epoch <= 1)
             self._quotas.configure(self._versions.tenants, now)
-            self._edges = EdgeNodes()
+            self._edges = EdgeNodes(now)
             self._suspicions = self._new_suspicions()
+            self._quotas.begin(now, 0, self._settings.bounds.quota_window_s)
             if self.replicator.hint:
                 self._restore(now)
         # a node that has come into the view may have nothing, and may lead the next one
@@ -160,13 +163,16 @@
             self._log.warning("soft-state-skipped", extra={"trouble": str(error)})
             return
         self._registry.remember(now, soft.instances)
-        self._quotas.restore(self._told_levels() or told_levels(soft))
-        self._log_levels()
+        self._edges = EdgeNodes(now, soft.edges)
+        self._quotas.begin(now, soft.edges, self._settings.bounds.quota_window_s)
+        levels = self._told_levels() or told_levels(soft)
+        self._quotas.restore(levels, now - self.replicator.levels_at)
+        self._log_levels(levels)
 
-    def _log_levels(self) -> None:
-        """What tenants' buckets hold at the beginning of this node's lead, in tokens."""
-        levels = {tenant: round(held.limit) for tenant, held in self._quotas.levels().items()}
-        self._log.info("quota-levels", extra={"epoch": self.replicator.core.view.epoch, "levels": levels})
+    def _log_levels(self, levels: dict[str, BucketLevels]) -> None:
+        """What tenants' buckets held by the last word of the primary before, in tokens."""
+        told = {tenant: round(held.limit) for tenant, held in levels.items()}
+        self._log.info("quota-levels", extra={"epoch": self.replicator.core.view.epoch, "levels": told})
 
     def _told_levels(self) -> dict[str, BucketLevels]:
         """What buckets held by the word that came after the soft state, if any did."""
@@ -191,10 +197,12 @@
 
     def _share_registry(self) -> None:
         """Tells the other control nodes which servers there are, for whoever leads next."""
-        if self._registry.version == self._shared_version:
+        now = asyncio.get_running_loop().time()
+        edges = self._edges.count(now)
+        if self._registry.version == self._shared_version and edges == self._shared_edges:
             return
-        self._shared_version = self._registry.version
-        self._shared_at = asyncio.get_running_loop().time()
+        self._shared_version, self._shared_edges = self._registry.version, edges
+        self._shared_at = now
         self._shared = self.replicator.share(self._soft_state())
 
     def _share_buckets(self, now: float) -> None:
@@ -206,7 +214,8 @@
         self.replicator.share_levels(msgspec.msgpack.encode(levels))
 
     def _soft_state(self) -> bytes:
-        return msgspec.msgpack.encode(soft_state(self._registry.known(), self._quotas.levels()))
+        levels = self._quotas.levels()
+        return msgspec.msgpack.encode(soft_state(self._registry.known(), levels, self._shared_edges))
 
     async def _left(self) -> None:
         """A server that leaves is acknowledged once every member knows, as one of them leads next.
@@ -403,7 +412,7 @@
         now = asyncio.get_running_loop().time()
         if report.silent_for is not None:
             self._suspect(now, report.node, report.silent_for)
-        return answer(self._quotas, self._edges, now, report)
+        return answer(self._quotas, self._edges, now, report, self._registry.version.epoch)
 
     def _suspect(self, now: float, node: str, silent_for: dict[str, float]) -> None:
         """Tells all edge nodes of a server at once that several of them suspect."""
--- a/wheatroute/edge/control_client.py
+++ b/wheatroute/edge/control_client.py
@@ -50,6 +50,10 @@
         self._whole = False  # whether the whole is asked for: a difference came that can't be used here
         self._named = False  # whether the host that is asked next was named as primary
         self._told: dict[str, object] = {}
+        self._begun = trio.current_time()
+        self._lead = -1  # epoch in which the primary that has this node's account began to lead
+        self._accounted_host = ""  # that primary
+        self._report_due = trio.Event()
         self._suspected = False  # whether the last report named a server that answers nothing
         self._client = httpx.AsyncClient(
             trust_env=False,
@@ -102,6 +106,8 @@
             self._move_on()
             return False
         self._epoch, self._heard = update.epoch, trio.current_time()
+        if self._moved:
+            self._report_due.set()
         self._know(update.control_hosts)
         table = self._changed_table(update)
         node.apply(update, table)
@@ -163,34 +169,66 @@
     async def lease(self, tenant: str, tokens: float) -> None:
         """Asks for tokens of a tenant; without an answer the node lives on its own part."""
         node = self._node
-        now = trio.current_time()
-        rate = node.quotas.asked_rate(tenant, now)
-        report = UsageReport(node.settings.node, {tenant: QuotaNeed(tokens, 0.0, rate)})
-        if await self._send_lease(report):
+        if await self._send_lease(tenant, tokens):
             return
         if limits := node.table.tenants.get(tenant):
             node.quotas.refill_alone(
                 limits, trio.current_time(), node.nodes, node.settings.bounds.quota_slack
             )
 
-    async def _send_lease(self, report: UsageReport) -> bool:
+    async def _send_lease(self, tenant: str, tokens: float) -> bool:
         """Asks the primary, or the one that it names; false at once while nobody has answered of late."""
         for _ in range(LEASE_HOSTS):
             if self.alone or trio.current_time() - self._unanswered < LEASE_PAUSE:
                 return False
-            if await self._send_report(report):
+            if await self._send_report(self._lease_report(tenant, tokens)):
                 return True
         return False
 
+    def _lease_report(self, tenant: str, tokens: float) -> UsageReport:
+        """A request for tokens; a primary that hasn't this node's account gets that with it."""
+        node, now = self._node, trio.current_time()
+        needs = self._account(now)
+        needs[tenant] = node.quotas.need(tenant, tokens, 0.0, now, self._account_due)
+        return UsageReport(node.settings.node, needs, recent_s=self._account_reach(now))
+
+    @property
+    def _account_due(self) -> bool:
+        """Whether the primary is to be told what was used before it began."""
+        return self._primary != self._accounted_host
+
+    @property
+    def _moved(self) -> bool:
+        """Whether another primary than this one has this node's account."""
+        return self._account_due and bool(self._accounted_host)
+
+    def _account_reach(self, now: float) -> float | None:
+        """Seconds that this node's account goes back, if the primary is to have it."""
+        window_s = self._node.settings.bounds.quota_window_s
+        return min(window_s, now - self._begun) if self._account_due else None
+
+    def _account(self, now: float) -> dict[str, QuotaNeed]:
+        """What all tenants used of late, if the primary is to have it."""
+        quotas = self._node.quotas
+        if not self._account_due:
+            return {}
+        return {tenant: quotas.need(tenant, 0.0, 0.0, now, recent=True) for tenant in quotas.tenants()}
+
     async def _send_report(self, report: UsageReport) -> bool:
+        host = self._primary
         body = await self._post(USAGE_PATH, report, httpx.Timeout(LEASE_TIMEOUT, connect=LEASE_TIMEOUT))
         if body is None:
             return False
         answer = msgspec.msgpack.decode(body, type=UsageAnswer)
         self._node.nodes = answer.edges
+        if report.recent_s is not None:
+            self._accounted_host, self._lead = host, answer.lead
+        elif answer.lead != self._lead:  # it led before, and leads again
+            self._accounted_host = ""
         self._node.selection.told(answer.servers)
         for tenant, grant in answer.grants.items():
-            spell = self._node.quotas.granted(tenant, grant, trio.current_time())
+            told_alone = report.tenants[tenant].alone
+            spell = self._node.quotas.granted(tenant, grant, trio.current_time(), told_alone)
             if spell is not None:
                 self._log_alone(spell)
         return True
@@ -211,18 +249,27 @@
         node = self._node
         while True:
             interval = max(REPORT_INTERVAL, REPORT_SPACING * node.nodes)
-            await trio.sleep(interval * (0.8 + 0.4 * node.chance.random()))
+            with trio.move_on_after(interval * (0.8 + 0.4 * node.chance.random())):
+                await self._report_due.wait()
+            self._report_due = trio.Event()
             now = trio.current_time()
             loads = node.selection.loads()
-            if self.alone or (not loads and not self._told):
+            if self.alone or not (loads or self._told or self._moved):
                 continue
             self._told = dict(loads)
             silent = node.instances.silent(now, node.selection.patience)
             suspects = silent if silent or self._suspected else None
             self._suspected = bool(silent)
-            needs = {
-                tenant: QuotaNeed(0.0, node.quotas.surplus(tenant, now), node.quotas.asked_rate(tenant, now))
-                for tenant in node.quotas.tenants()
-                if node.quotas.asked_rate(tenant, now)
-            }
-            await self._send_report(UsageReport(node.settings.node, needs, loads, suspects))
+            reach_s = self._account_reach(now)
+            # tokens in hand belong to the account, so none are given back with it
+            needs = self._account(now) if reach_s is not None else self._returns(now)
+            await self._send_report(UsageReport(node.settings.node, needs, loads, suspects, reach_s))
+
+    def _returns(self, now: float) -> dict[str, QuotaNeed]:
+        """What each tenant's clients need, and what this node gives back as it doesn't."""
+        quotas = self._node.quotas
+        return {
+            tenant: quotas.need(tenant, 0.0, quotas.surplus(tenant, now), now, recent=False)
+            for tenant in quotas.tenants()
+            if quotas.asked_rate(tenant, now)
+        }
--- a/wheatroute/edge/quota_leases.py
+++ b/wheatroute/edge/quota_leases.py
@@ -7,7 +7,8 @@
 import msgspec
 
 from wheatroute.cluster.configuration import Tenant
-from wheatroute.cluster.messages import QuotaGrant
+from wheatroute.cluster.messages import QuotaGrant, QuotaNeed
+from wheatroute.edge.usage_history import UsageHistory
 
 RATE_MEMORY = 4.0  # seconds over which the need of a tenant's clients is measured
 KEEP_S = 0.4  # seconds of that need which a lease may hold without giving it back
@@ -19,7 +20,7 @@
 
 
 class AloneSpell(msgspec.Struct, frozen=True):
-    """A time without word from the primary, and the tokens that this node gave itself meanwhile."""
+    """A time without word from the primary, and the tokens that this node used of its own part meanwhile."""
 
     tenant: str
     seconds: float
@@ -38,28 +39,36 @@
         "own_rate",
         "own_tokens",
         "heard",
+        "own",
+        "used_alone",
+        "told_alone",
         "alone",
-        "filled_at",
-        "credited_at",
         "alone_since",
-        "alone_tokens",
+        "alone_before",
         "alone_nodes",
+        "filled_at",
+        "credited_at",
+        "history",
     )
 
-    def __init__(self) -> None:
-        self.balance = 0.0
+    def __init__(self, window_s: float) -> None:
+        self.balance = 0.0  # granted by a primary
         self.asked_rate = 0.0  # tokens a second that clients asked for of late
         self.asked_at = 0.0
         self.wait_s = 0.0  # until tokens are there, by the primary's word
         self.own_rate = 0.0  # part of the tenant's rate for this node, while it has no word from the primary
         self.own_tokens = 0.0  # part of what the tenant's bucket held then
         self.heard = -inf  # when the primary's last word on this tenant came
+        self.own = 0.0  # of its own part, what it may use while alone; no primary has granted that
+        self.used_alone = 0.0  # of its own part, since the process began
+        self.told_alone = 0.0  # how much of that a primary has heard of
         self.alone = False  # since then this node lives on its own part
-        self.filled_at = 0.0
-        self.credited_at = -inf  # when this node last began to live on its own part with something in hand
         self.alone_since = 0.0
-        self.alone_tokens = 0.0  # that it has given itself since then
+        self.alone_before = 0.0  # `used_alone` at that time
         self.alone_nodes = 0
+        self.filled_at = 0.0
+        self.credited_at = -inf  # when this node last began to live on its own part with something in hand
+        self.history = UsageHistory(window_s)
 
 
 class QuotaLeases:
@@ -67,7 +76,8 @@
 
     Whatever the primary grants is taken out of the one bucket of the tenant, so the nodes' leases sum to the
     limit. Without word from the primary a node lives on the part of the rate that it was told last, and on an
-    even part of what the rule allows beyond the limit.
+    even part of what the rule allows beyond the limit. What it uses of those it tells the primary that it
+    reaches next, which takes it out of the bucket. What is left can't be used while a primary answers.
     """
 
     def __init__(self, window_s: float) -> None:
@@ -77,10 +87,12 @@
     def count_over(self, window_s: float) -> None:
         """Another window of the rule, in seconds."""
         self._window_s = window_s
+        for lease in self._leases.values():
+            lease.history.keep(window_s)
 
     def _lease(self, tenant: str) -> TenantLease:
         if tenant not in self._leases:
-            self._leases[tenant] = TenantLease()
+            self._leases[tenant] = TenantLease(self._window_s)
         return self._leases[tenant]
 
     def asked(self, tenant: str, tokens: float, now: float) -> None:
@@ -98,22 +110,53 @@
     def take(self, tenant: str, tokens: float) -> bool:
         """Uses tokens of the lease; false if it doesn't hold so many."""
         lease = self._lease(tenant)
-        if lease.balance < tokens:
+        if lease.balance + (lease.own if lease.alone else 0.0) < tokens:
             return False
-        lease.balance -= tokens
+        granted = min(lease.balance, tokens)
+        lease.balance -= granted
+        lease.own -= tokens - granted
+        lease.used_alone += tokens - granted
+        lease.history.add(lease.asked_at, tokens)
         return True
 
     def give_back(self, tenant: str, tokens: float) -> None:
         """A request that was charged never went out."""
-        self._lease(tenant).balance += tokens
+        lease = self._lease(tenant)
+        lease.balance += tokens
+        lease.history.add(lease.asked_at, -tokens)
 
-    def granted(self, tenant: str, grant: QuotaGrant, now: float) -> AloneSpell | None:
-        """The primary's answer; what a time without one came to, if this ends one."""
+    def need(self, tenant: str, wanted: float, returned: float, now: float, recent: bool) -> QuotaNeed:
+        """What the primary is told and asked for; `recent` where it is to hear what was used of late."""
+        lease = self._lease(tenant)
+        return QuotaNeed(
+            wanted,
+            returned,
+            self.asked_rate(tenant, now),
+            lease.used_alone,
+            lease.told_alone,
+            self._recent(lease, now) if recent else (),
+        )
+
+    def _recent(self, lease: TenantLease, now: float) -> tuple[int, ...]:
+        """Tokens used by slots of time, the newest first; those in hand may be used without another word."""
+        slots = lease.history.by_age(now) or [0.0]
+        slots[0] += lease.balance
+        return tuple(round(tokens) for tokens in slots)
+
+    def granted(
+        self, tenant: str, grant: QuotaGrant, now: float, told_alone: float = 0.0
+    ) -> AloneSpell | None:
+        """The primary's answer to a need that told of so much used alone.
+
+        Returns what a time without an answer came to, if this ends one.
+        """
         lease = self._lease(tenant)
         spell = None
         if lease.alone:
-            spell = AloneSpell(tenant, now - lease.alone_since, lease.alone_tokens, lease.alone_nodes)
+            used = lease.used_alone - lease.alone_before
+            spell = AloneSpell(tenant, now - lease.alone_since, used, lease.alone_nodes)
         lease.balance += grant.tokens
+        lease.told_alone = max(lease.told_alone, told_alone)
         lease.wait_s, lease.own_rate, lease.own_tokens = grant.wait_s, grant.own_rate, grant.own_tokens
         lease.heard, lease.alone = now, False
         return spell
@@ -136,12 +179,11 @@
         any. Its part of what the bucket held then, and of the slack, it has at once, but once in a window.
         """
         lease = self._lease(tenant.name)
-        before = lease.balance
         reserve = ALONE_SLACK * slack / max(1, nodes)
         begins = not lease.alone
         if begins:
             lease.alone = True
-            lease.alone_since, lease.alone_tokens, lease.alone_nodes = now, 0.0, nodes
+            lease.alone_since, lease.alone_before, lease.alone_nodes = now, lease.used_alone, nodes
             if now - lease.heard > OWN_RATE_VALID_S:
                 # its clients' need is another one by now, and other nodes' with it
                 lease.own_rate, lease.own_tokens, lease.heard = 0.0, 0.0, now
@@ -151,11 +193,10 @@
         ahead = lease.own_tokens if lease.own_rate else untold_rate * UNTOLD_S
         if begins and now - lease.credited_at >= self._window_s:
             lease.credited_at = now
-            lease.balance += reserve + ahead
+            lease.own += reserve + ahead
         most = reserve + max(rate * ALONE_KEEP_S, ahead)
-        lease.balance = min(most, lease.balance + rate * (now - lease.filled_at))
+        lease.own = min(most, lease.own + rate * (now - lease.filled_at))
         lease.filled_at = now
-        lease.alone_tokens += lease.balance - before
 
     def tenants(self) -> list[str]:
         """All tenants with a lease."""
--- a/wheatroute/replication/replicator.py
+++ b/wheatroute/replication/replicator.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from itertools import count
+from math import inf
 from random import Random
 
 from wheatroute.cluster.settings import Settings
@@ -74,6 +75,7 @@
         self._was = (False, -2)
         self.hint = b""
         self.levels = b""  # of buckets, if they were told after the hint; in memory alone
+        self.levels_at = -inf  # when they, or the hint, came; of the loop's clock
         self._hint_news = asyncio.Event()
         self._soft_state: SoftStateCopy
         self.core: ReplicationCore
@@ -146,7 +148,7 @@
             return
         if isinstance(message, Levels):
             if message.epoch >= self.core.view.epoch:
-                self.levels = message.payload
+                self._keep_levels(message.payload)
             return
         if isinstance(message, HintTaken):
             self._soft_state.taken(sender, message)
@@ -232,9 +234,13 @@
         self._links.send(host_of(sender), HintTaken(message.epoch, message.number))
 
     def _keep_hint(self, payload: bytes) -> None:
-        self.hint, self.levels = payload, b""
+        self.hint = payload
+        self._keep_levels(b"")
         self._executor.submit(self._storage.write_hint, payload)
 
+    def _keep_levels(self, payload: bytes) -> None:
+        self.levels, self.levels_at = payload, asyncio.get_running_loop().time()
+
     def share(self, payload: bytes) -> Order:
         """Sends this leader's soft state to all others; returns its order for `shared`."""
         now = asyncio.get_running_loop().time()
@@ -246,7 +252,7 @@
     def share_levels(self, payload: bytes) -> None:
         """Tells all others what buckets hold; one that is lost is followed by the next."""
         core = self.core
-        self.levels = payload
+        self._keep_levels(payload)
         others = [host for host in core.hosts if host != core.host]
         self._send_all([Send(host, Levels(core.view.epoch, payload)) for host in others])
 
