--- a/wheatroute/control/service.py
+++ b/wheatroute/control/service.py
@@ -11,7 +11,6 @@
 from wheatroute.cluster.distribution import NO_SEQUENCE
 from wheatroute.cluster.errors import ErrorKind, RequestError
 from wheatroute.cluster.messages import (
-    Instance,
     NotServing,
     RegistryVersion,
     Update,
@@ -24,6 +23,7 @@
 from wheatroute.control.edge_nodes import EdgeNodes
 from wheatroute.control.quotas import BucketLevels, QuotaBuckets, answer
 from wheatroute.control.registry import Heartbeat, Registry
+from wheatroute.control.soft_state import SoftState, soft_state, told_levels
 from wheatroute.control.suspicion import Suspicions
 from wheatroute.control.versions import ConfigurationVersions
 from wheatroute.replication.replicator import Replicator
@@ -42,27 +42,6 @@
 LONGEST_POLL = 5.0
 
 
-class SoftState(msgspec.Struct, frozen=True):
-    """What the next primary starts from: the servers that are there, and what tenants' buckets hold."""
-
-    instances: tuple[Instance, ...]
-    buckets: dict[str, float]  # those of the limits
-    extras: dict[str, float] = {}  # those beyond them
-    edges: int = 0  # edge nodes that were there
-
-
-def soft_state(instances: tuple[Instance, ...], levels: dict[str, BucketLevels], edges: int) -> SoftState:
-    """As it is sent and kept."""
-    limits = {tenant: held.limit for tenant, held in levels.items()}
-    extras = {tenant: held.extra for tenant, held in levels.items()}
-    return SoftState(instances, limits, extras, edges)
-
-
-def told_levels(soft: SoftState) -> dict[str, BucketLevels]:
-    """What the buckets held."""
-    return {tenant: BucketLevels(held, soft.extras.get(tenant, 0.0)) for tenant, held in soft.buckets.items()}
-
-
 class ControlService:
     """The state of one control node; only the one that leads answers."""
 
--- a/wheatroute/edge/control_client.py
+++ b/wheatroute/edge/control_client.py
@@ -20,6 +20,7 @@
 from wheatroute.edge.node import EdgeNode
 from wheatroute.edge.quota_leases import AloneSpell
 from wheatroute.edge.routing import RoutingTable
+from wheatroute.edge.usage_accounts import UsageAccounts
 
 POLL_WAIT = 0.7  # seconds that the primary may hold a poll
 POLL_MARGIN = 0.45  # seconds on top of it until the primary counts as lost
@@ -50,9 +51,7 @@
         self._whole = False  # whether the whole is asked for: a difference came that can't be used here
         self._named = False  # whether the host that is asked next was named as primary
         self._told: dict[str, object] = {}
-        self._begun = trio.current_time()
-        self._lead = -1  # epoch in which the primary that has this node's account began to lead
-        self._accounted_host = ""  # that primary
+        self._accounts = UsageAccounts(node.quotas, trio.current_time())
         self._report_due = trio.Event()
         self._suspected = False  # whether the last report named a server that answers nothing
         self._client = httpx.AsyncClient(
@@ -106,7 +105,7 @@
             self._move_on()
             return False
         self._epoch, self._heard = update.epoch, trio.current_time()
-        if self._moved:
+        if self._accounts.moved(self._primary):
             self._report_due.set()
         self._know(update.control_hosts)
         table = self._changed_table(update)
@@ -186,33 +185,10 @@
         return False
 
     def _lease_report(self, tenant: str, tokens: float) -> UsageReport:
-        """A request for tokens; a primary that hasn't this node's account gets that with it."""
+        """A request for tokens."""
         node, now = self._node, trio.current_time()
-        needs = self._account(now)
-        needs[tenant] = node.quotas.need(tenant, tokens, 0.0, now, self._account_due)
-        return UsageReport(node.settings.node, needs, recent_s=self._account_reach(now))
-
-    @property
-    def _account_due(self) -> bool:
-        """Whether the primary is to be told what was used before it began."""
-        return self._primary != self._accounted_host
-
-    @property
-    def _moved(self) -> bool:
-        """Whether another primary than this one has this node's account."""
-        return self._account_due and bool(self._accounted_host)
-
-    def _account_reach(self, now: float) -> float | None:
-        """Seconds that this node's account goes back, if the primary is to have it."""
-        window_s = self._node.settings.bounds.quota_window_s
-        return min(window_s, now - self._begun) if self._account_due else None
-
-    def _account(self, now: float) -> dict[str, QuotaNeed]:
-        """What all tenants used of late, if the primary is to have it."""
-        quotas = self._node.quotas
-        if not self._account_due:
-            return {}
-        return {tenant: quotas.need(tenant, 0.0, 0.0, now, recent=True) for tenant in quotas.tenants()}
+        needs = {tenant: node.quotas.need(tenant, tokens, 0.0, now)}
+        return self._accounts.report(node.settings.node, self._primary, needs, now)
 
     async def _send_report(self, report: UsageReport) -> bool:
         host = self._primary
@@ -221,10 +197,7 @@
             return False
         answer = msgspec.msgpack.decode(body, type=UsageAnswer)
         self._node.nodes = answer.edges
-        if report.recent_s is not None:
-            self._accounted_host, self._lead = host, answer.lead
-        elif answer.lead != self._lead:  # it led before, and leads again
-            self._accounted_host = ""
+        self._accounts.answered(host, report, answer)
         self._node.selection.told(answer.servers)
         for tenant, grant in answer.grants.items():
             told_alone = report.tenants[tenant].alone
@@ -254,22 +227,22 @@
             self._report_due = trio.Event()
             now = trio.current_time()
             loads = node.selection.loads()
-            if self.alone or not (loads or self._told or self._moved):
+            if self.alone or not (loads or self._told or self._accounts.moved(self._primary)):
                 continue
             self._told = dict(loads)
             silent = node.instances.silent(now, node.selection.patience)
             suspects = silent if silent or self._suspected else None
             self._suspected = bool(silent)
-            reach_s = self._account_reach(now)
             # tokens in hand belong to the account, so none are given back with it
-            needs = self._account(now) if reach_s is not None else self._returns(now)
-            await self._send_report(UsageReport(node.settings.node, needs, loads, suspects, reach_s))
+            needs = {} if self._accounts.due(self._primary) else self._returns(now)
+            report = self._accounts.report(node.settings.node, self._primary, needs, now)
+            await self._send_report(msgspec.structs.replace(report, servers=loads, silent_for=suspects))
 
     def _returns(self, now: float) -> dict[str, QuotaNeed]:
         """What each tenant's clients need, and what this node gives back as it doesn't."""
         quotas = self._node.quotas
         return {
-            tenant: quotas.need(tenant, 0.0, quotas.surplus(tenant, now), now, recent=False)
+            tenant: quotas.need(tenant, 0.0, quotas.surplus(tenant, now), now)
             for tenant in quotas.tenants()
             if quotas.asked_rate(tenant, now) or quotas.owes(tenant)
         }
--- a/wheatroute/edge/quota_leases.py
+++ b/wheatroute/edge/quota_leases.py
@@ -81,18 +81,18 @@
     """
 
     def __init__(self, window_s: float) -> None:
-        self._window_s = window_s  # over which the rule counts
+        self.window_s = window_s  # over which the rule counts
         self._leases: dict[str, TenantLease] = {}
 
     def count_over(self, window_s: float) -> None:
         """Another window of the rule, in seconds."""
-        self._window_s = window_s
+        self.window_s = window_s
         for lease in self._leases.values():
             lease.history.keep(window_s)
 
     def _lease(self, tenant: str) -> TenantLease:
         if tenant not in self._leases:
-            self._leases[tenant] = TenantLease(self._window_s)
+            self._leases[tenant] = TenantLease(self.window_s)
         return self._leases[tenant]
 
     def asked(self, tenant: str, tokens: float, now: float) -> None:
@@ -125,7 +125,9 @@
         lease.balance += tokens
         lease.history.add(lease.asked_at, -tokens)
 
-    def need(self, tenant: str, wanted: float, returned: float, now: float, recent: bool) -> QuotaNeed:
+    def need(
+        self, tenant: str, wanted: float, returned: float, now: float, recent: bool = False
+    ) -> QuotaNeed:
         """What the primary is told and asked for; `recent` where it is to hear what was used of late."""
         lease = self._lease(tenant)
         return QuotaNeed(
@@ -196,7 +198,7 @@
         untold_rate = ALONE_SHARE * tenant.rate_per_s / max(1, nodes)
         rate = lease.own_rate or untold_rate
         ahead = lease.own_tokens if lease.own_rate else untold_rate * UNTOLD_S
-        if begins and now - lease.credited_at >= self._window_s:
+        if begins and now - lease.credited_at >= self.window_s:
             lease.credited_at = now
             lease.own += reserve + ahead
         most = reserve + max(rate * ALONE_KEEP_S, ahead)
