--- a/tests/grpc/test_sessions.py
+++ b/tests/grpc/test_sessions.py
@@ -17,10 +17,10 @@
 from asynchronous import story
 
 from wheatroute import tls
+from wheatroute.grpc.call import Bounds
 from wheatroute.grpc.client import Channel, connected
 from wheatroute.grpc.messages import CallError, Status, framed
 from wheatroute.grpc.server import Server, listen
-from wheatroute.grpc.session import Bounds
 
 LOG = structlog.get_logger()
 
--- a/tests/processor/test_processor.py
+++ b/tests/processor/test_processor.py
@@ -14,10 +14,11 @@
 
 from wheatroute import config, snapshot
 from wheatroute.etcd import messages as wire
+from wheatroute.grpc.call import Call
 from wheatroute.grpc.client import Channel, connected
 from wheatroute.grpc.messages import CallError, Status
 from wheatroute.grpc.server import listen
-from wheatroute.grpc.session import Call, Session
+from wheatroute.grpc.session import Session
 from wheatroute.net.rounds import now
 from wheatroute.processor.dispatcher import Dispatcher
 from wheatroute.processor.mapping import Reader
--- a/wheatroute/etcd/client.py
+++ b/wheatroute/etcd/client.py
@@ -17,9 +17,9 @@
 import trio
 
 from wheatroute.etcd import messages as wire
+from wheatroute.grpc.call import Bounds
 from wheatroute.grpc.client import Channel
 from wheatroute.grpc.messages import CallError, Headers, Status
-from wheatroute.grpc.session import Bounds
 from wheatroute.grpc.talk import Talk
 
 PATIENCE = 1.0  # seconds for a unary call at one endpoint
--- a/wheatroute/grpc/client.py
+++ b/wheatroute/grpc/client.py
@@ -16,8 +16,9 @@
 
 import trio
 
+from wheatroute.grpc.call import Bounds, Receiver
 from wheatroute.grpc.messages import CallError, Headers, Status, time_out_text
-from wheatroute.grpc.session import Bounds, Receiver, Session
+from wheatroute.grpc.session import Session
 from wheatroute.grpc.talk import Talk
 from wheatroute.wire import Wire
 
--- a/wheatroute/grpc/server.py
+++ b/wheatroute/grpc/server.py
@@ -15,8 +15,9 @@
 
 import trio
 
+from wheatroute.grpc.call import Bounds, Call, Nobody, Receiver
 from wheatroute.grpc.messages import CallError, Status, time_out
-from wheatroute.grpc.session import Bounds, Call, Nobody, Receiver, Session
+from wheatroute.grpc.session import Session
 from wheatroute.grpc.talk import Talk
 from wheatroute.tls import Contexts
 from wheatroute.wire import Wire
--- a/wheatroute/grpc/session.py
+++ b/wheatroute/grpc/session.py
@@ -9,12 +9,10 @@
 from __future__ import annotations
 
 import os
-from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
 from math import inf
-from typing import Any, Protocol
+from typing import Any
 
 import h2.config
 import h2.connection
@@ -23,131 +21,15 @@
 import h2.exceptions
 import h2.settings
 import trio
-from hyperframe.frame import GoAwayFrame
 
-from wheatroute.grpc.messages import Assembler, CallError, Headers, Status, escaped, framed, status_of
+from wheatroute.grpc.call import NOBODY, Bounds, Call, Receiver
+from wheatroute.grpc.goaway import EVERY, GoawayFilter, goaway, last_stream
+from wheatroute.grpc.messages import CallError, Headers, Status, status_of
 from wheatroute.wire import Wire
 
-PREFACE = len(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
-GOAWAY = 7
-FRAME_HEAD = 9  # bytes
-LONGEST_GOAWAY = 4096  # bytes; it may carry a text
-EVERY = 2**31 - 1  # the highest stream there can be: a GOAWAY that only announces the next one
 STUCK = 5.0  # seconds in which a peer with a full backlog must have taken something in
 LINGER = 0.5  # seconds in which a client that has all its answers is to hang up
 EASE = 0.01  # seconds between two looks at a full backlog
-RESPONSE: Headers = [(b":status", b"200"), (b"content-type", b"application/grpc")]
-
-
-@dataclass(frozen=True)
-class Bounds:
-    """What a peer may cost: streams, bytes and resets; seconds for keep-alive."""
-
-    streams: int = 1000  # open at once
-    message: int = 1 << 20  # bytes
-    header_list: int = 16384  # bytes, as HTTP/2 counts them
-    window: int = 1 << 20  # bytes unread of one connection
-    stream_window: int = 1 << 16  # bytes unread of one stream
-    backlog: int = 1 << 20  # bytes unsent, beyond which the peer is not read
-    resets: float = 400.0  # resets in reserve; one comes back with each call that ends well
-    reset_rate: float = 100.0  # and so many a second
-    ping_every: float = 30.0  # seconds of silence before the peer is asked whether it is there
-    ping_within: float = 10.0  # seconds in which it must answer
-
-
-class Receiver(Protocol):
-    """Who is told of what comes on a call. None of these may wait or raise."""
-
-    def headers(self, headers: dict[bytes, bytes]) -> None:
-        """An answer has begun (clients only)."""
-
-    def message(self, message: bytes) -> None:
-        """One whole message."""
-
-    def half_closed(self) -> None:
-        """The other side sends no more (servers only)."""
-
-    def over(self, how: CallError) -> None:
-        """The call has ended, and not by `finish` or `cancel` from here. Told once, last."""
-
-
-class Nobody:
-    """A receiver that does not care."""
-
-    def headers(self, headers: dict[bytes, bytes]) -> None: ...
-
-    def message(self, message: bytes) -> None: ...
-
-    def half_closed(self) -> None: ...
-
-    def over(self, how: CallError) -> None: ...
-
-
-NOBODY = Nobody()
-
-
-class Call:
-    """One stream, of either side."""
-
-    __slots__ = ("number", "session", "head", "receiver", "holds", "local_end", "remote_end", "dead",
-                 "answered", "waiting", "unread", "_parts", "_queue", "_trailers", "never_ran")
-
-    def __init__(self, number: int, session: Session, head: dict[bytes, bytes]) -> None:
-        self.number, self.session, self.head = number, session, head
-        self.receiver: Receiver = NOBODY
-        self.holds = False  # its receiver says itself what it has read: see `read`
-        self.local_end = self.remote_end = self.dead = False
-        self.answered = False  # its headers are out
-        self.never_ran = False  # the other side said that it never looked at it
-        self.waiting = 0  # bytes of whole messages that its receiver has not read
-        self.unread = 0  # bytes that count against the windows until it has
-        self._parts = Assembler(session.bounds.message)
-        self._queue: deque[bytes] = deque()
-        self._trailers: Headers | None = None
-
-    @property
-    def unsent(self) -> int:
-        """Bytes that the peer's windows have no room for."""
-        return sum(map(len, self._queue))
-
-    def send(self, message: bytes) -> None:
-        """Sends one message, as far as the windows allow now; does nothing on a call that is over."""
-        if self.dead or self.local_end:
-            return
-        session = self.session
-        if not self.answered and not session.client_side:
-            self.answered = True
-            session.h2.send_headers(self.number, RESPONSE)
-        self._queue.append(framed(message))
-        session.push(self)
-
-    def finish(self, status: Status = Status.OK, text: str = "", extra: Headers | None = None) -> None:
-        """Ends an answer with its status (servers only); what was sent before goes out first."""
-        if self.dead or self.local_end:
-            return
-        trailers = [(b"grpc-status", b"%d" % status), *(extra or [])]
-        if text:
-            trailers.append((b"grpc-message", escaped(text)))
-        self._trailers = trailers if self.answered else RESPONSE + trailers
-        self.local_end = True
-        self.session.push(self)
-
-    def half_close(self) -> None:
-        """Says that no more messages come (clients only)."""
-        if not self.dead and not self.local_end:
-            self._trailers, self.local_end = [], True
-            self.session.push(self)
-
-    def cancel(self, code: int = h2.errors.ErrorCodes.CANCEL) -> None:
-        """Ends the call at once; nothing more is told of it."""
-        self.session.reset(self, code)
-
-    def read(self, count: int) -> None:
-        """A message of so many bytes was read. Once all are, the other side may send as much again."""
-        self.waiting -= count + 5
-        if self.waiting <= 0:
-            self.session.acknowledge(self, self.unread)
-            self.unread = 0
 
 
 class Session:
@@ -180,8 +62,7 @@
         self._last = 0  # the highest stream that was taken
         self._blocked: dict[int, Call] = {}
         self._raw = b""  # frames beside h2's
-        self._partial = b""  # of a frame that is not whole
-        self._skip = 0 if client_side else PREFACE
+        self._goaways = GoawayFilter(client_side)
         self._resets, self._resets_at = bounds.resets, trio.current_time()
         self._heard = trio.current_time()
         self._pinged = inf
@@ -242,7 +123,7 @@
     def _take(self, data: bytes) -> bool:
         """One burst of bytes; False if the connection cannot go on."""
         try:
-            for event in self.h2.receive_data(self._without_goaway(data)):
+            for event in self.h2.receive_data(self._goaways.taken_out(data, self._went_away)):
                 handler = _HANDLERS.get(type(event))
                 if handler is not None:
                     handler(self, event)
@@ -254,41 +135,17 @@
             return False
         if self._resets < 0.0:
             self.reason = "flooded: too many resets"
-            self._raw += self._goaway(self._last, h2.errors.ErrorCodes.ENHANCE_YOUR_CALM)
+            self._raw += goaway(self._last, h2.errors.ErrorCodes.ENHANCE_YOUR_CALM)
             return False
         if self._burst is not None:
             self._burst()
         self.flush()
         return True
 
-    def _without_goaway(self, data: bytes) -> bytes:
-        """Takes GOAWAY frames out: h2 would end a connection on which open calls may still go on."""
-        data = self._partial + data if self._partial else data
-        at, start, parts = 0, 0, []
-        while True:
-            step = min(self._skip, len(data) - at)
-            at, self._skip = at + step, self._skip - step
-            if self._skip or len(data) - at < FRAME_HEAD:
-                break
-            length = int.from_bytes(data[at:at + 3], "big")
-            if data[at + 3] != GOAWAY:
-                self._skip = FRAME_HEAD + length
-                continue
-            if length > LONGEST_GOAWAY:
-                raise ValueError(f"a GOAWAY of {length} bytes")
-            end = at + FRAME_HEAD + length
-            if end > len(data):
-                break
-            parts.append(data[start:at])
-            self._went_away(data[at + FRAME_HEAD:end])
-            at = start = end
-        self._partial = data[at:]
-        return b"".join([*parts, data[start:at]]) if parts else data[start:at]
-
     def _went_away(self, payload: bytes) -> None:
         """The other side takes no new calls; those that it never looked at are told so."""
         self.leaving = True
-        last = int.from_bytes(payload[:4], "big") & EVERY
+        last = last_stream(payload)
         if not self.client_side:
             return
         for number in [number for number in self.calls if number > last]:
@@ -514,19 +371,15 @@
         if self.leaving:
             return
         self.leaving = self._announced = True
-        self._raw += self._goaway(EVERY, h2.errors.ErrorCodes.NO_ERROR)
+        self._raw += goaway(EVERY, h2.errors.ErrorCodes.NO_ERROR)
         self._ping()
         self.flush()
 
     def _announce_last(self) -> None:
         self._announced = False
-        self._raw += self._goaway(self._last, h2.errors.ErrorCodes.NO_ERROR)
+        self._raw += goaway(self._last, h2.errors.ErrorCodes.NO_ERROR)
         self.flush()
 
-    @staticmethod
-    def _goaway(last: int, code: int) -> bytes:
-        return GoAwayFrame(0, last_stream_id=last, error_code=int(code)).serialize()
-
     def _ping(self) -> None:
         self._pinged = trio.current_time()
         self.h2.ping(os.urandom(8))
--- a/wheatroute/grpc/talk.py
+++ b/wheatroute/grpc/talk.py
@@ -10,8 +10,8 @@
 
 import trio
 
+from wheatroute.grpc.call import Call
 from wheatroute.grpc.messages import CallError, Status
-from wheatroute.grpc.session import Call
 
 
 class Talk:
--- a/wheatroute/processor/dispatcher.py
+++ b/wheatroute/processor/dispatcher.py
@@ -13,7 +13,8 @@
 import trio
 
 from wheatroute.decide import Balancer
-from wheatroute.grpc.session import Call, Session
+from wheatroute.grpc.call import Call
+from wheatroute.grpc.session import Session
 from wheatroute.interface import Event, Outcome, Report, State
 from wheatroute.net.discovery import Discovery
 from wheatroute.net.exchange import Answer, Attempt, Exchange
--- a/wheatroute/processor/service.py
+++ b/wheatroute/processor/service.py
@@ -19,8 +19,8 @@
 import trio
 
 from wheatroute import config
+from wheatroute.grpc.call import Bounds
 from wheatroute.grpc.server import Server, listen
-from wheatroute.grpc.session import Bounds
 from wheatroute.net.log import open_log
 from wheatroute.net.signals import heed, heeded, note_early
 from wheatroute.processor.dispatcher import Dispatcher, Listed
--- a/wheatroute/standin/etcd.py
+++ b/wheatroute/standin/etcd.py
@@ -17,9 +17,9 @@
 import trio
 
 from wheatroute.etcd import messages as wire
+from wheatroute.grpc.call import Bounds
 from wheatroute.grpc.messages import CallError, Status
 from wheatroute.grpc.server import Server, listen
-from wheatroute.grpc.session import Bounds
 from wheatroute.grpc.talk import Talk
 
 COMPACTED = "etcdserver: mvcc: required revision has been compacted"
