Tests: one judge and one reader of messages for both soaks; names of what they test

The reader of messages went round for ever where a message broke off in its body; it ends with an error.

--- a/tests/agreement/test_agreement_functions.py
+++ b/tests/agreement/test_agreement_functions.py
@@ -12,7 +12,7 @@
     }
 
 
-def test_meeting_paths():
+def test_paths_of_joint_terms():
     assert joint_terms._paths({"allowed": {"cancel": True}, "tenants": [{"name": "a", "portion": 1.0}]}) == {
         "allowed.cancel": True,
         "tenants.a.name": "a",
@@ -20,7 +20,7 @@
     }
 
 
-def test_meeting_unfit():
+def test_joint_terms_that_are_unfit():
     assert (
         joint_terms._unfit("allowed.connect-timeout", "soon"),
         joint_terms._unfit("tick", True),
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -78,7 +78,10 @@
     headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines[1:])}
     length = int(headers.get("content-length", 0))
     while len(rest) < length:
-        rest += await stream.receive_some(65536)
+        data = await stream.receive_some(65536)
+        if not data:
+            raise trio.BrokenResourceError("the message breaks off")
+        rest += data
     return lines[0], headers, rest[:length], rest[length:]
 
 
--- a/tests/rollout/test_judging.py
+++ b/tests/rollout/test_judging.py
@@ -41,7 +41,7 @@
 # the progress
 
 
-def test_a_course_goes_through_its_stages_and_asks_where_it_was_told_to():
+def test_a_rollout_goes_through_its_stages_and_asks_where_it_was_told_to():
     progress = begun()
     assert step(progress, rows(a="1", b="1", c="1"), watched=2.9) is None
     assert step(progress, rows(a="1", b="1", c="1")) == "stage"
--- a/tests/rollout/test_rollouts.py
+++ b/tests/rollout/test_rollouts.py
@@ -196,7 +196,7 @@
 
 
 @story
-async def test_a_keeper_that_dies_leaves_its_node_serving_and_the_next_one_finds_it():
+async def test_a_supervisor_that_dies_leaves_its_node_serving_and_the_next_one_finds_it():
     async with rig(nodes=3, within=WITHIN, programs={"old": GOOD, "new": GOOD}) as it:
         one = Story(it)
         await one.ready()
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -11,10 +11,11 @@
 import sys
 from collections import Counter
 from contextlib import suppress
-from dataclasses import dataclass, field
 from random import Random
 
 import trio
+from edge.harness import read_message
+from soak.limits import LimitedTenant, Rule, configuration
 
 HOST = "desk.example"
 CONTROL_PORT, FRONT_PORT, READY_PORT, FIRST_PORT = 18367, 18360, 18365, 18500
@@ -32,80 +33,15 @@
     "converge_ms": 1500,
     "contact_ms": 2000,
 }
-LIMIT_SETTLES_S = 6.0  # seconds from the sending of a lower limit until only that counts
-
-
-@dataclass
-class Tenant:
-    """Its limit, what its clients ask for, and what came of it."""
-
-    name: str
-    rate: float
-    burst: float
-    clients: int
-    pause: float  # seconds between two requests of a client
-    limits: list = field(default_factory=list)  # (when it was sent, rate, burst)
-    used: list = field(default_factory=list)  # (when it arrived at the server, tokens)
-
-    def limit(self, now, rate, burst):
-        self.rate, self.burst = rate, burst
-        self.limits.append((now, rate, burst))
-
-    @property
-    def configured(self):
-        return {
-            "name": self.name,
-            "api_keys": [f"key-{self.name}"],
-            "unit": "token_usage",
-            "uncached_tokens": 20,
-            "rate_per_s": self.rate,
-            "burst": self.burst,
-        }
+RULE = Rule(WINDOW_S, EXCESS, SLACK, settles_s=6.0)
+
+
+class Tenant(LimitedTenant):
+    """One tenant, and how many clients it has, with how long a pause between two requests of each."""
 
-    def allowed(self, begin):
-        """Tokens in the window from then on: by the highest limit that may have counted."""
-        first = 0
-        for number, (at, _, _) in enumerate(self.limits):
-            if at <= begin - LIMIT_SETTLES_S:
-                first = number
-        told = [rate * WINDOW_S + burst for at, rate, burst in self.limits[first:] if at <= begin + WINDOW_S]
-        return max(told) * (1 + EXCESS) + SLACK
-
-    def most(self):
-        """The largest part of what is allowed that was used in any window, and when that began."""
-        best, total, first = (0.0, 0.0), 0.0, 0
-        for now, tokens in self.used:
-            total += tokens
-            while self.used[first][0] < now - WINDOW_S:
-                total -= self.used[first][1]
-                first += 1
-            begin = self.used[first][0]
-            best = max(best, (total / self.allowed(begin), begin))
-        return best
-
-
-async def read_head(stream, rest=b""):
-    """The first line and headers of the next message, and what came behind them; None at the end."""
-    while b"\r\n\r\n" not in rest:
-        data = await stream.receive_some(65536)
-        if not data:
-            return None
-        rest += data
-    head, _, rest = rest.partition(b"\r\n\r\n")
-    lines = head.decode("latin-1").split("\r\n")
-    headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines[1:])}
-    return lines[0], headers, rest
-
-
-async def read_body(stream, headers, rest):
-    """The body of a message with a length, and what came behind it."""
-    length = int(headers.get("content-length", 0))
-    while len(rest) < length:
-        data = await stream.receive_some(65536)
-        if not data:
-            raise ConnectionError("the message breaks off")
-        rest += data
-    return rest[:length], rest[length:]
+    def __init__(self, name, rate, burst, clients, pause):
+        super().__init__(RULE, name, rate, burst, unread=20)
+        self.clients, self.pause = clients, pause
 
 
 async def call(address, method, path, content=None, headers=(), limit=1.5):
@@ -117,15 +53,14 @@
     with trio.move_on_after(limit), suppress(OSError, trio.BrokenResourceError, ConnectionError):
         async with await trio.open_tcp_stream(host, port) as stream:
             await stream.send_all(text.encode() + body)
-            message = await read_head(stream)
+            message = await read_message(stream, b"")
             if message is None:
                 return 0, b""
-            line, told, rest = message
+            line, told, found, _ = message
             status = int(line.split(" ")[1])
             if status == 307:
                 moved = told["location"].split("//")[1].split("/")[0]
                 return await call((moved.split(":")[0], port), method, path, content, headers, limit)
-            found, _ = await read_body(stream, told, rest)
             return status, found
     return 0, b""
 
@@ -215,17 +150,16 @@
         rest = b""
         chance = Random(self.chance.random())
         with suppress(OSError, trio.BrokenResourceError, trio.ClosedResourceError, ConnectionError):
-            while message := await read_head(stream, rest):
-                line, headers, rest = message
-                _, rest = await read_body(stream, headers, rest)
-                body = await self._run(headers, line, chance)
+            while message := await read_message(stream, rest):
+                _, headers, _, rest = message
+                body = await self._run(headers, chance)
                 answer = (
                     f"HTTP/1.1 200 OK\r\nRequest-Id: {headers.get('request-id', '')}\r\n"
                     f"Server-Signature: s\r\nContent-Length: {len(body)}\r\n\r\n"
                 )
                 await stream.send_all(answer.encode() + body)
 
-    async def _run(self, headers, line, chance):
+    async def _run(self, headers, chance):
         tenant = next((one for one in self.tenants if one.name == headers.get("tenant")), None)
         if tenant is None:
             return b'{"phase":"both","models":[],"utilization":false,"seq":1,"queued":0,"running":0}'
@@ -259,24 +193,8 @@
 
     async def configure(self):
         """Has the tenants' present limits taken, by whichever node takes them."""
-        route = {
-            "name": "ask",
-            "hostname": HOST,
-            "path_prefix": "/ask/",
-            "kind": "unsafe",
-            "timeout_ms": 2500,
-            "target_ms": 300,
-            "priority": 1,
-            "backend": "llm",
-            "retries": 1,
-        }
         match, self.generation = self.generation, self.generation + 1
-        body = {
-            "generation": self.generation,
-            "routes": [route],
-            "services": [{"name": "llm"}],
-            "tenants": [tenant.configured for tenant in self.tenants],
-        }
+        body = configuration(self.generation, self.tenants, timeout_ms=2500, target_ms=300, host=HOST)
         while True:
             control = self.chance.choice(self.controls)
             address = (control.host, CONTROL_PORT)
@@ -315,11 +233,10 @@
         ]
         with trio.fail_after(ANSWER_LIMIT):
             await stream.send_all("\r\n".join(lines).encode() + b"\r\n\r\n")
-            message = await read_head(stream, rest)
+            message = await read_message(stream, rest)
             if message is None:
                 raise ConnectionError("closed")
-            line, headers, rest = message
-            _, rest = await read_body(stream, headers, rest)
+            line, headers, _, rest = message
         status = int(line.split(" ")[1])
         assert headers.get("request-id", identity) == identity
         self.answers[status] += 1
@@ -375,11 +292,7 @@
 
     def verdict(self):
         """What broke a rule, a line each."""
-        found = []
-        for tenant in self.tenants:
-            part, begin = tenant.most()
-            if part > 1.0:
-                found.append(f"{tenant.name}: {part:.3f} of what is allowed, from {begin:.2f} s on")
+        found = [line for tenant in self.tenants for line in tenant.verdict()]
         if twice := [identity for identity, times in self.ran.items() if times > 1]:
             found.append(f"run twice: {twice[:3]}")
         if refused := [identity for identity in self.promised if identity in self.ran]:
--- a/tests/soak/virtual_fleet.py
+++ b/tests/soak/virtual_fleet.py
@@ -7,7 +7,6 @@
 
 import json
 import logging
-from dataclasses import dataclass, field
 from math import inf
 from random import Random
 
@@ -18,6 +17,7 @@
 from control import virtual_cluster
 from control.virtual_cluster import Cluster
 from soak.bridge import Bridge
+from soak.limits import LimitedTenant, Rule, configuration
 from trio.testing import MockClock
 
 from wheatroute.cluster.errors import RequestError
@@ -45,69 +45,32 @@
 BOUNDS = Bounds(
     quota_window_s=8.0, quota_excess=0.1, quota_slack=190_000.0, converge_ms=2500.0, contact_ms=4000.0
 )
-# seconds from the sending of a lower limit until no older one counts: acknowledged, and told to every node
-LOWER_LIMIT_BINDS = (BOUNDS.converge_ms + BOUNDS.contact_ms) / 1000.0 + 2.0
+USUAL = 1 / 1.3  # of its rate, what a tenant asks for
+RULE = Rule(
+    BOUNDS.quota_window_s,
+    BOUNDS.quota_excess,
+    BOUNDS.quota_slack,
+    # a lower limit counts a window after it was acknowledged and told to every node
+    (BOUNDS.converge_ms + BOUNDS.contact_ms) / 1000.0 + 2.0 + BOUNDS.quota_window_s,
+)
 LOG = logging.getLogger("virtual-fleet")
 LOG.setLevel(logging.CRITICAL)
 
 
-@dataclass
-class TenantPlay:
-    """One tenant: its limit, and what its clients ask for, as a part of the limit's rate by time."""
-
-    name: str
-    rate: float
-    burst: float
-    usual: float = 1 / 1.3
-    hot: list = field(default_factory=list)  # (from, to, times its usual)
-    limits: list = field(default_factory=list)  # (when it was sent, rate, burst), the earlier ones
-    used: list = field(default_factory=list)  # (when, tokens)
-    refused: int = 0
-
-    @property
-    def configured(self):
-        return {
-            "name": self.name,
-            "api_keys": [f"key-{self.name}"],
-            "unit": "token_usage",
-            "uncached_tokens": 200,
-            "rate_per_s": self.rate,
-            "burst": self.burst,
-        }
-
-    def __post_init__(self):
-        self.demand = self.rate * self.usual
-        self.limits = [(-inf, self.rate, self.burst)]
-
-    def limit(self, now, rate, burst):
-        """Another limit is sent."""
-        self.rate, self.burst = rate, burst
-        self.limits.append((now, rate, burst))
+class TenantPlay(LimitedTenant):
+    """One tenant, and what its clients ask for: a part of its first rate, times more while it is hot."""
+
+    def __init__(self, name, rate, burst, hot=()):
+        super().__init__(RULE, name, rate, burst, unread=200)
+        self.limits.append((-inf, rate, burst))
+        self.demand = rate * USUAL
+        self.hot = list(hot)  # (from, to, times its usual)
+        self.refused = 0
 
     def requests_per_s(self, now):
         times = max((times for begin, end, times in self.hot if begin <= now < end), default=1.0)
         return self.demand * times / MEAN_SIZE
 
-    def allowed(self, begin):
-        """In the window from then on; a lower limit binds once it is in force everywhere for a window."""
-        window = BOUNDS.quota_window_s
-        binds = begin - LOWER_LIMIT_BINDS - window
-        first = max(number for number, limit in enumerate(self.limits) if limit[0] <= max(binds, 0.0))
-        told = [rate * window + burst for at, rate, burst in self.limits[first:] if at <= begin + window]
-        return max(told) * (1 + BOUNDS.quota_excess) + BOUNDS.quota_slack
-
-    def most(self):
-        """The window in which most of what is allowed was used: the part, the tokens, and when it begins."""
-        best, total, first = (0.0, 0.0, 0.0), 0.0, 0
-        for now, tokens in self.used:
-            total += tokens
-            while self.used[first][0] < now - BOUNDS.quota_window_s:
-                total -= self.used[first][1]
-                first += 1
-            begin = self.used[first][0]
-            best = max(best, (total / self.allowed(begin), total, begin))
-        return best
-
 
 class FleetCluster(Cluster):
     """Control nodes with the bounds of the rule."""
@@ -256,24 +219,8 @@
 
     async def configure(self):
         """Has the tenants' present limits taken."""
-        route = {
-            "name": "ask",
-            "hostname": HOST,
-            "path_prefix": "/ask/",
-            "kind": "unsafe",
-            "timeout_ms": 4000,
-            "target_ms": 500,
-            "priority": 1,
-            "backend": "llm",
-            "retries": 1,
-        }
         match, self.generation = self.generation, self.generation + 1
-        body = {
-            "generation": self.generation,
-            "routes": [route],
-            "services": [{"name": "llm"}],
-            "tenants": [tenant.configured for tenant in self.tenants],
-        }
+        body = configuration(self.generation, self.tenants, timeout_ms=4000, target_ms=500, host=HOST)
         change = Change(False, str(match), json.dumps(body).encode())
         while True:
             leader = await self.leader()
@@ -301,14 +248,7 @@
 
     def verdict(self):
         """What broke the rule, a line for each tenant."""
-        found = []
-        for tenant in self.tenants:
-            part, used, begin = tenant.most()
-            if part > 1.0:
-                found.append(
-                    f"{tenant.name}: {part:.3f} of what is allowed, {used:.0f} from {begin:.2f} s on"
-                )
-        return found
+        return [line for tenant in self.tenants for line in tenant.verdict()]
 
 
 def play(fleet, tell, length):
