--- a/wheatroute/control/tenant_tokens.py
+++ b/wheatroute/control/tenant_tokens.py
@@ -14,6 +14,7 @@
 AHEAD_S = 0.25  # seconds of a node's own need that it is granted ahead, while the bucket is well filled
 FILLED = 0.5  # of a bucket: below, nothing is granted ahead
 ALONE_SHARE = 0.9  # of the limit that nodes may use together while they have no word from the primary
+SUM_INTERVAL = 0.2  # seconds after which sums over nodes are taken anew
 LONGEST_DEBT_S = 2.0  # seconds of its rate that a bucket may owe: a lower limit is no reason to refuse all
 
 
@@ -60,6 +61,10 @@
         "withheld",
         "earlier",
         "begun_with",
+        "_rates",
+        "_shares",
+        "_parts",
+        "_summed_at",
     )
 
     def __init__(self, limit: Bucket, extra: Bucket, now: float) -> None:
@@ -70,13 +75,18 @@
         self.alone: dict[str, float] = {}  # by node: what its process has used alone, as it told last
         self.withheld: dict[str, Withheld] = {}  # by node that is silent
         self.earlier = EarlierUse()
+        self._rates = self._shares = self._parts = 0.0  # sums over the nodes of `needs`
+        self._summed_at = now
         self.begun_with = limit.tokens  # what the limit's bucket is taken to have held at the beginning
 
     def part(self, node: str, share: float) -> float:
         """A node's part of what the limit's bucket holds; the parts that nodes know sum to no more."""
-        others = sum(tokens for name, tokens in self.told.items() if name != node and name in self.needs)
-        self.told[node] = max(0.0, min(share * self.limit.tokens, ALONE_SHARE * self.limit.tokens - others))
-        return self.told[node]
+        before = self.told.get(node, 0.0)
+        others = self._parts - before
+        part = max(0.0, min(share * self.limit.tokens, ALONE_SHARE * self.limit.tokens - others))
+        self.told[node] = part
+        self._parts += part - before
+        return part
 
     def share(self, node: str, rate: float, now: float, known: float) -> float:
         """A node's share of what nodes may use without a primary, by its need among all nodes'.
@@ -84,16 +94,36 @@
         `known` is the part of the nodes whose needs are known; others may have shares of an earlier primary.
         The shares that were told sum to no more than there is, however needs have changed since.
         """
-        self.needs[node] = (now, rate)
-        self.needs = {name: need for name, need in self.needs.items() if now - need[0] <= NODE_LOST}
-        total = sum(need for _, need in self.needs.values())
-        if total <= 0:
-            return 0.0
-        others = sum(share for name, share in self.told_shares.items() if name != node and name in self.needs)
-        share = max(0.0, min(known * ALONE_SHARE * rate / total, ALONE_SHARE - others))
+        self._need(node, rate, now)
+        before = self.told_shares.get(node, 0.0)
+        others = self._shares - before
+        share = 0.0
+        if self._rates > 0:
+            share = max(0.0, min(known * ALONE_SHARE * rate / self._rates, ALONE_SHARE - others))
         self.told_shares[node] = share
+        self._shares += share - before
         return share
 
+    def _need(self, node: str, rate: float, now: float) -> None:
+        """A node tells its need; the sums over all nodes of late go along."""
+        if now - self._summed_at >= SUM_INTERVAL:
+            self._sum(now)
+        if node in self.needs:
+            self._rates -= self.needs[node][1]
+        else:
+            self._shares += self.told_shares.get(node, 0.0)
+            self._parts += self.told.get(node, 0.0)
+        self.needs[node] = (now, rate)
+        self._rates += rate
+
+    def _sum(self, now: float) -> None:
+        """Forgets the needs of nodes that are lost, and takes all sums anew."""
+        self._summed_at = now
+        self.needs = {name: need for name, need in self.needs.items() if now - need[0] <= NODE_LOST}
+        self._rates = sum(rate for _, rate in self.needs.values())
+        self._shares = sum(self.told_shares.get(name, 0.0) for name in self.needs)
+        self._parts = sum(self.told.get(name, 0.0) for name in self.needs)
+
     def withhold(self, node: str, since: float, rate: float, tokens: float, now: float) -> None:
         """Keeps for a node that is silent since then what it may be using: its parts as they were told."""
         held = self.withheld.get(node)
