--- a/benchmarks/etcd.py
+++ b/benchmarks/etcd.py
@@ -39,7 +39,8 @@
 from wheatroute.etcd.registry import Registry  # noqa: E402
 from wheatroute.grpc.client import Channel, connected  # noqa: E402
 from wheatroute.interface import Event, State  # noqa: E402
-from wheatroute.standin.etcd import Member, Store  # noqa: E402
+from wheatroute.standin.etcd import Member  # noqa: E402
+from wheatroute.standin.etcd_store import Store  # noqa: E402
 from wheatroute.standin.proxy import PATH, destination, request_headers  # noqa: E402
 
 SERVERS, DRAINED_WITHIN = 16, 2.0
--- a/tests/agreement/test_leaving.py
+++ b/tests/agreement/test_leaving.py
@@ -23,7 +23,7 @@
 from wheatroute.etcd import messages as wire
 from wheatroute.rig.rig import rig
 from wheatroute.standin.etcd import Member as Served
-from wheatroute.standin.etcd import Store
+from wheatroute.standin.etcd_store import Store
 
 
 def entry(name, state="in_service", started=0, place=""):
--- a/tests/etcd/test_follow.py
+++ b/tests/etcd/test_follow.py
@@ -13,7 +13,8 @@
 from wheatroute.etcd.client import Cluster
 from wheatroute.etcd.follow import Follower
 from wheatroute.grpc.messages import CallError, Status
-from wheatroute.standin.etcd import Member, Store
+from wheatroute.standin.etcd import Member
+from wheatroute.standin.etcd_store import Store
 
 PREFIX = b"/pools/shop/servers/"
 LOG = structlog.get_logger()
--- a/tests/etcd/test_members.py
+++ b/tests/etcd/test_members.py
@@ -11,7 +11,8 @@
 from wheatroute.etcd.client import Cluster
 from wheatroute.etcd.membership import HOLD, STEP, Membership
 from wheatroute.etcd.register import Registrar
-from wheatroute.standin.etcd import Member, Store
+from wheatroute.standin.etcd import Member
+from wheatroute.standin.etcd_store import Store
 
 PREFIX = b"/pools/shop/nodes/"
 LOG = structlog.get_logger()
--- a/tests/etcd/test_registry.py
+++ b/tests/etcd/test_registry.py
@@ -11,7 +11,8 @@
 from wheatroute.etcd import messages as wire
 from wheatroute.etcd.registry import Registry
 from wheatroute.etcd.watching import BehindError, LostError, Watching
-from wheatroute.standin.etcd import Member, Store
+from wheatroute.standin.etcd import Member
+from wheatroute.standin.etcd_store import Store
 
 
 def event(key, revision, kind=wire.PUT):
--- a/tests/processor/test_processor.py
+++ b/tests/processor/test_processor.py
@@ -24,7 +24,8 @@
 from wheatroute.processor.mapping import Reader
 from wheatroute.processor.service import Service
 from wheatroute.processor.streams import PATH
-from wheatroute.standin.etcd import Member, Store
+from wheatroute.standin.etcd import Member
+from wheatroute.standin.etcd_store import Store
 from wheatroute.standin.proxy import destination, request_headers, response_headers
 
 VIEW, AMEND, PLACE = 0, 1, 2
--- a/wheatroute/rig/cluster.py
+++ b/wheatroute/rig/cluster.py
@@ -15,7 +15,8 @@
 import trio
 
 from wheatroute.etcd import messages as wire
-from wheatroute.standin.etcd import Member, Store
+from wheatroute.standin.etcd import Member
+from wheatroute.standin.etcd_store import Store
 
 
 class Orders:
