--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -132,6 +132,8 @@
     """All processes, the server that they reach, and the clients; ends whatever it started."""
 
     def __init__(self, folder, seed, block, controls, edges, tenants):
+        if any(folder.iterdir()):
+            raise FileExistsError(f"{folder} has the disks of another play, with limits of its own")
         self.folder, self.chance, self.tenants = folder, Random(seed), tenants
         hosts = [f"127.{block}.0.{number}" for number in range(1, controls + 1)]
         self.seeds = hosts[:3]
