--- a/tests/soak/test_processes.py
+++ b/tests/soak/test_signals_and_restarts.py
@@ -2,7 +2,7 @@
 
 More days by hand, with so many edge nodes and seconds each:
 
-    WHEATROUTE_SOAK_PROCESSES=0:50:6:20 python -m pytest tests/soak/test_processes.py -n 4
+    WHEATROUTE_SOAK_PROCESSES=0:50:6:20 python -m pytest tests/soak/test_signals_and_restarts.py -n 4
 """
 
 import os
--- a/tests/test_functions.py
+++ b/tests/test_functions.py
@@ -5,7 +5,7 @@
 from wheatroute import learned, orders, quantiles, snapshot, talk, words
 from wheatroute.benchlink import host
 from wheatroute.rig.settings import change
-from wheatroute.standin import etcd, lean
+from wheatroute.standin import etcd_store, lean
 
 
 def test_host_batch():
@@ -97,9 +97,9 @@
 
 def test_etcd_within():
     assert (
-        etcd.within(b"a", b"a", b""),
-        etcd.within(b"b", b"a", b"b"),
-        etcd.within(b"z", b"a", bytes(1)),
+        etcd_store.within(b"a", b"a", b""),
+        etcd_store.within(b"b", b"a", b"b"),
+        etcd_store.within(b"z", b"a", bytes(1)),
     ) == (True, False, True)
 
 
