Edge: log requests read while draining, and those that a shutdown cuts

Two events say when its first byte came, what the connection carried before, and what the end of the process cuts.

--- a/tests/edge/test_changes_while_waiting.py
+++ b/tests/edge/test_changes_while_waiting.py
@@ -83,7 +83,7 @@
         waiting = await trio.open_tcp_stream("127.0.0.1", edge.port)
         await waiting.send_all(request("/plain/1"))
         await until(lambda: edge.clients.busy_count)
-        edge.node.is_stopping = True
+        edge.node.shutdown.begin(trio.current_time(), 8.0)
         edge.clients.close_listener()
         edge.clients.close_idle()
         edge.register(server, number=3)
--- a/tests/edge/test_client_connections.py
+++ b/tests/edge/test_client_connections.py
@@ -88,7 +88,7 @@
         await connection.send_all(request("/plain/1", close=False))
         response = await connection.receive_some(65536)
         assert status(response) == 200 and b"Connection: close" not in response
-        edge.node.is_stopping = True
+        edge.node.shutdown.begin(trio.current_time(), 8.0)
         await connection.send_all(request("/plain/2", close=False))
         response = await connection.receive_some(65536)
         assert status(response) == 200 and b"Connection: close" in response
--- a/wheatroute/edge/client_response.py
+++ b/wheatroute/edge/client_response.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import h11
+import trio
 
 from wheatroute.cluster.errors import RequestError
 from wheatroute.edge.connection import StreamConnection
@@ -25,11 +26,16 @@
 
     def __init__(self, connection: StreamConnection, is_closing: bool) -> None:
         self.is_closing = is_closing  # whether the connection is closed after this response
-        self.has_begun = False
+        self.begun_at: float | None = None  # time at which the head was written
         self.is_complete = False
         self.is_client_disconnected = False
         self._connection = connection
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the head was written, at least in part."""
+        return self.begun_at is not None
+
     def _head(self, status: int, headers: Headers, reason: bytes = b"") -> h11.Response:
         if self.is_closing:
             headers = [*headers, (b"Connection", b"close")]
@@ -38,7 +44,7 @@
     async def send(self, status: int, headers: Headers, body: bytes, reason: bytes = b"") -> None:
         """Writes a complete response with a Content-Length; raises ClientDisconnectedError."""
         headers = [*headers, (b"Content-Length", b"%d" % len(body))]
-        self.has_begun = True
+        self.begun_at = trio.current_time()
         try:
             if not self._connection.send(self._head(status, headers, reason), body):
                 await self._connection.flush()
@@ -63,7 +69,7 @@
 
     async def start_stream(self, status: int, headers: Headers, first: bytes, reason: bytes = b"") -> None:
         """Writes the head of a stream and its first events; raises ClientDisconnectedError."""
-        self.has_begun = True
+        self.begun_at = trio.current_time()
         try:
             head = self._head(status, [*headers, (b"Transfer-Encoding", b"chunked")], reason)
             await self._connection.send_head(head, first)
--- a/wheatroute/edge/clients.py
+++ b/wheatroute/edge/clients.py
@@ -37,6 +37,8 @@
         self.connection = connection
         self.is_busy = False  # whether a request is being read or answered
         self.idle_scope = trio.CancelScope()  # scope of the wait for the next request
+        self.request: ClientRequest | None = None  # the request that is being answered
+        self.response: ClientResponse | None = None  # its response; otherwise the response before
 
 
 class Clients:
@@ -91,6 +93,44 @@
             if not client.is_busy:
                 client.idle_scope.cancel()
 
+    # Observing a shutdown
+
+    def _log_late_request(self, client: _Client, request: ClientRequest) -> None:
+        """Logs a request that was read after the listener was closed, and what preceded it."""
+        shutdown = self._node.shutdown
+        if not shutdown.is_draining:
+            return
+        previous = client.response
+        extra: dict[str, object] = {
+            "request": request.header(b"request-id"),
+            "stopping_ms": shutdown.elapsed_ms(trio.current_time()),
+            "first_byte_ms": shutdown.elapsed_ms(request.received_at),
+            "answered": client.connection.message_count,
+        }
+        if previous is not None and previous.begun_at is not None:
+            extra["previous_begun_ms"] = shutdown.elapsed_ms(previous.begun_at)
+            extra["previous_announced_close"] = previous.is_closing
+        self._log.info("request-while-draining", extra=extra)
+
+    def log_unanswered(self) -> None:
+        """Logs each request that the end of the process cuts off."""
+        shutdown, now = self._node.shutdown, trio.current_time()
+        for client in self._clients:
+            request, response = client.request, client.response
+            if request is None or response is None or response.is_complete:
+                continue
+            self._log.warning(
+                "request-cut",
+                extra={
+                    "request": request.id.decode("latin-1"),
+                    "route": request.route.name if request.route is not None else "",
+                    "received_ms": shutdown.elapsed_ms(request.received_at),
+                    "stopping_ms": shutdown.elapsed_ms(now),
+                    "sends": request.sent_attempts,
+                    "has_begun": response.has_begun,
+                },
+            )
+
     async def _serve(self, sock: socket.socket, peer: str) -> None:
         set_socket_options(sock)
         connection = StreamConnection(sock, h11.SERVER, peer)
@@ -207,12 +247,15 @@
 
     async def _answer(self, client: _Client, request: ClientRequest) -> bool:
         """Handles a request while watching for a disconnect; returns whether the connection can be reused."""
+        self._log_late_request(client, request)
         response = ClientResponse(client.connection, is_closing=self._node.is_stopping)
+        client.request, client.response = request, response
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_disconnect, client, response, nursery.cancel_scope)
             with suppress(ClientDisconnectedError):
                 await self._forwarder.handle(request, response)
             nursery.cancel_scope.cancel()
+        client.request = None
         # A client that got no `Connection: close` may be about to send another request, so its connection
         # stays open until it is idle, even if this node is stopping (see `close_idle`).
         return response.is_complete and not response.is_closing
--- a/wheatroute/edge/main.py
+++ b/wheatroute/edge/main.py
@@ -75,18 +75,19 @@
 
         Ends when all requests are answered or the platform's grace period is nearly over.
         """
-        self._node.is_stopping = True
-        started_at = trio.current_time()
-        deadline = started_at + self._node.settings.bounds.grace_s - SHUTDOWN_MARGIN_S
+        shutdown, started_at = self._node.shutdown, trio.current_time()
+        shutdown.begin(started_at, self._node.settings.bounds.grace_s - SHUTDOWN_MARGIN_S)
         self._log.info("stopping", extra={"busy": self._clients.busy_count})
         await self._wait_for_failed_probes(started_at + PROBE_TIMEOUT_S)
         await trio.sleep(DRAIN_DELAY_S)
         self._clients.close_listener()
-        while trio.current_time() < deadline:
+        shutdown.start_draining()
+        while trio.current_time() < shutdown.ends_at:
             self._clients.close_idle()
             if not self._clients.busy_count:
                 break
             await trio.sleep(POLL_INTERVAL_S)
+        self._clients.log_unanswered()
 
     async def _wait_for_failed_probes(self, deadline: float) -> None:
         """Waits until the platform must have noticed that this node is not ready, or until the deadline."""
--- a/wheatroute/edge/node.py
+++ b/wheatroute/edge/node.py
@@ -16,6 +16,7 @@
 from wheatroute.edge.retry_budget import RetryBudget
 from wheatroute.edge.routing import EMPTY_TABLE, RoutingTable
 from wheatroute.edge.selection import ServerSelector
+from wheatroute.edge.shutdown import ShutdownState
 
 RESERVED_DESCRIPTORS = 200  # file descriptors kept for other uses than connections
 MIN_CONNECTIONS = 64
@@ -38,7 +39,7 @@
         self.hedge_timer = HedgeTimer()
         self.quotas = QuotaLeases(settings.bounds.quota_window_s)
         self.edge_node_count = DEFAULT_EDGE_NODE_COUNT
-        self.is_stopping = False
+        self.shutdown = ShutdownState()
         self._retry_budgets: dict[str, RetryBudget] = {}  # keyed by service name
 
     def apply_settings(self, settings: Settings) -> None:
@@ -55,6 +56,11 @@
         """Whether a configuration is in force."""
         return self.table.sequence >= 0
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether this node is shutting down."""
+        return self.shutdown.is_stopping
+
     @property
     def is_ready(self) -> bool:
         """Whether this node should get new clients."""
