Edge: end each open connection with its response while the node drains

Cause: whether a response is the connection's last was decided when its request was read. A response that had begun before SIGTERM, or whose request was read before it, announced nothing and left its connection open; the next request came before the next round of close_idle, and was taken however late.

The close is now decided when the head is written, and again with the last byte: while the node drains, the connection is shut down for sending with that byte, before the client can send more. A request that was read before is answered; one that arrived unread before an idle connection was closed is read; a close waits until the client has had time to read, as unread bytes reset the connection. ClientSession reads the requests of one connection, which Clients did before.

Four of the tests in test_edge_shutdown.py cover this; three of them failed on the text before.

--- /dev/null
+++ b/tests/edge/test_edge_shutdown.py
@@ -0,0 +1,130 @@
+"""Tests that a shutdown of the edge role loses no request on connections that stay open."""
+
+import os
+import signal
+import socket
+
+import h11
+import trio
+from async_scenarios import scenario, until
+from edge.harness import (
+    LAST_CHUNK,
+    STREAM_HEAD,
+    ScriptedServer,
+    chunk,
+    read_all,
+    request,
+    respond,
+    running_edge,
+    status,
+)
+from edge.role import running
+
+from wheatroute.edge.client_session import ClientSession
+from wheatroute.edge.connection import StreamConnection
+
+
+def stream_until(event):
+    """Returns a script that sends one event of a stream, and ends the stream once `event` is set."""
+
+    async def script(stream, fields):
+        head = STREAM_HEAD.replace(b"{id}", fields["request-id"].encode())
+        await stream.send_all(head + chunk(b"id: 1\ndata: a\n\n"))
+        await event.wait()
+        await stream.send_all(LAST_CHUNK)
+        return True
+
+    return script
+
+
+async def read_until(stream, end):
+    """Returns the bytes of a connection up to and including `end`, or up to the connection's end."""
+    received = b""
+    while end not in received and (data := await stream.receive_some(65536)):
+        received += data
+    return received
+
+
+async def stop_and_drain(edge):
+    """Sends SIGTERM, and acts as the platform until the listener is closed."""
+    os.kill(os.getpid(), signal.SIGTERM)
+    await until(lambda: edge.node.is_stopping)
+    assert [await edge.ready(), await edge.ready()] == [503, 503]
+    await until(lambda: edge.node.shutdown.is_draining)
+
+
+# Lost: a request was taken long after SIGTERM, on a connection whose answer had begun before it, and cut.
+@scenario
+async def test_the_end_of_an_answer_ends_its_connection_while_the_node_drains():
+    may_end, never = trio.Event(), trio.Event()
+    server = ScriptedServer("i-1", stream_until(may_end), stream_until(never))
+    async with running(server) as edge:
+        await until(lambda: edge.node.is_ready)
+        client = await trio.open_tcp_stream("127.0.0.1", edge.port)
+        await client.send_all(request("/stream/1", close=False))
+        response = await read_until(client, b"data: a")
+        await stop_and_drain(edge)
+        may_end.set()
+        response += await read_until(client, LAST_CHUNK)
+        assert response.endswith(LAST_CHUNK)
+        try:
+            await client.send_all(request("/stream/2", close=False, identity="r2"))
+            assert await client.receive_some(1) == b""
+        except trio.BrokenResourceError:
+            pass  # the connection was closed before the request arrived
+        await edge.ended.wait()
+    assert len(server.requests) == 1
+
+
+# Lost: a request read before SIGTERM and answered after it announced no close.
+@scenario
+async def test_a_response_that_begins_after_the_stop_announces_the_close():
+    may_begin = trio.Event()
+
+    async def answer_late(stream, fields):
+        await may_begin.wait()
+        return await respond(b"ok")(stream, fields)
+
+    server = ScriptedServer("i-1", answer_late)
+    async with running_edge(server) as edge:
+        client = await trio.open_tcp_stream("127.0.0.1", edge.port)
+        await client.send_all(request("/plain/1", close=False))
+        await server.arrived.wait()
+        edge.node.shutdown.begin(trio.current_time(), 8.0)
+        may_begin.set()
+        response = await read_all(client)
+    assert status(response) == 200 and b"Connection: close" in response
+
+
+# Lost: a request that was pipelined behind the answer under way was read and never answered.
+@scenario
+async def test_a_request_that_was_read_before_the_last_answer_ended_is_answered():
+    may_end = trio.Event()
+    server = ScriptedServer("i-1", stream_until(may_end))
+    async with running(server) as edge:
+        await until(lambda: edge.node.is_ready)
+        client = await trio.open_tcp_stream("127.0.0.1", edge.port)
+        await client.send_all(request("/stream/1", close=False))
+        await read_until(client, b"data: a")
+        await stop_and_drain(edge)
+        await client.send_all(request("/plain/2", close=False, identity="r2"))
+        (session,) = edge.role._clients._clients
+        await until(lambda: session.connection.has_unparsed_input)
+        may_end.set()
+        first, second = (await read_all(client)).split(LAST_CHUNK)
+        assert not first and status(second) == 200 and b"Connection: close" in second
+        await edge.ended.wait()
+
+
+# Lost by the node's own close: it reset a connection on which a request had arrived unread.
+@scenario
+async def test_a_request_that_arrived_before_its_idle_connection_was_closed_is_read():
+    node_end, client_end = socket.socketpair()
+    node_end.setblocking(False)
+    session = ClientSession(StreamConnection(node_end, h11.SERVER, "client"))
+    with client_end:
+        client_end.sendall(request("/plain/1", close=False))
+        session.stop_waiting()
+        arrived = await session.read_request(idle_timeout_s=1.0, head_timeout_s=1.0)
+    session.connection.close()
+    assert arrived is not None and arrived.target == b"/plain/1"
--- /dev/null
+++ b/wheatroute/edge/client_session.py
@@ -0,0 +1,138 @@
+"""One client's connection: waits for its requests, reads them, and closes it without losing a response.
+
+Does I/O on the connection.
+"""
+
+from __future__ import annotations
+
+from math import inf
+
+import h11
+import trio
+
+from wheatroute.edge.client_response import ClientResponse
+from wheatroute.edge.connection import StreamConnection
+from wheatroute.edge.request import ClientRequest
+
+BODY_TIMEOUT_S = 20.0  # time for the body of a request, in addition to the timeout of its head
+LINGER_TIMEOUT_S = 0.5  # time that a client has to read its last response before its connection is closed
+
+
+class ClientSession:
+    """A client's connection and what it is doing."""
+
+    def __init__(self, connection: StreamConnection) -> None:
+        self.connection = connection
+        self.is_busy = False  # whether a request is being read or answered
+        self.last_response: ClientResponse | None = None
+        self._idle_scope = trio.CancelScope()  # scope of the wait for the next request
+
+    # Reading requests
+
+    def stop_waiting(self) -> None:
+        """Ends the wait for the next request, unless part of one has arrived."""
+        self._idle_scope.cancel()
+
+    def start_next_request(self) -> bool:
+        """Prepares for another request; returns False if the connection cannot carry any more."""
+        if not self.connection.start_next_message():
+            return False
+        self.is_busy = False
+        self._idle_scope = trio.CancelScope()
+        return True
+
+    async def read_request(self, idle_timeout_s: float, head_timeout_s: float) -> ClientRequest | None:
+        """Returns the next complete request, None if the client was idle for too long or has disconnected.
+
+        Raises MalformedError if the request is malformed, or trio.TooSlowError if it is not complete in time
+        after its first byte.
+        """
+        if not await self._wait_for_first_byte(idle_timeout_s):
+            return None
+        self.is_busy = True
+        received_at = trio.current_time()
+        with trio.fail_after(head_timeout_s + BODY_TIMEOUT_S):
+            if not await self._read_message(received_at + head_timeout_s):
+                return None
+        head = self.connection.head
+        headers = [(bytes(name), bytes(value)) for name, value in head.headers]
+        return ClientRequest(
+            bytes(head.method), bytes(head.target), headers, self.connection.body, received_at
+        )
+
+    async def _wait_for_first_byte(self, idle_timeout_s: float) -> bool:
+        """Waits for the start of a request; returns False after the idle timeout or a disconnect.
+
+        The wait may end while bytes are waiting to be read; they are read, so that a request which arrived
+        before the end of the wait is answered.
+        """
+        connection = self.connection
+        with trio.move_on_after(idle_timeout_s), self._idle_scope:
+            if not await self._receive_first_byte():
+                return False
+        if not self._has_begun_request() and not connection.is_reusable():
+            return await connection.receive() and self._has_begun_request()
+        return self._has_begun_request()
+
+    async def _receive_first_byte(self) -> bool:
+        connection = self.connection
+        while not connection.has_partial_message:
+            if connection.parse():
+                break
+            if not await connection.receive():
+                return False
+        # Set within the wait, so that it is not ended once a request has begun.
+        self.is_busy = True
+        return True
+
+    def _has_begun_request(self) -> bool:
+        connection = self.connection
+        return connection.has_partial_message or connection.http.their_state is not h11.IDLE
+
+    async def _read_message(self, head_deadline: float) -> bool:
+        """Reads until a request is complete; returns False if the client closes the connection before.
+
+        Raises MalformedError, or trio.TooSlowError if the head is not complete at the deadline.
+        """
+        connection = self.connection
+        has_sent_continue = False
+        while not connection.parse():
+            if connection.http.they_are_waiting_for_100_continue and not has_sent_continue:
+                has_sent_continue = True
+                await connection.send_interim()
+            is_reading_body = connection.http.their_state is h11.SEND_BODY
+            if not is_reading_body and trio.current_time() > head_deadline:
+                raise trio.TooSlowError
+            deadline = head_deadline if connection.http.their_state is h11.IDLE else inf
+            with trio.move_on_at(deadline) as scope:
+                if not await connection.receive():
+                    return False
+            if scope.cancelled_caught:
+                raise trio.TooSlowError
+        return True
+
+    # Closing the connection
+
+    async def drain_input(self) -> None:
+        """Ends the connection after the response to a message that was not read whole; discards the rest.
+
+        Closing a socket with unread bytes resets the connection, and the client could lose the response
+        (RFC 9112, 9.6).
+        """
+        self.connection.shut_down_sending()
+        self.connection.discards_input = True
+        with trio.move_on_after(LINGER_TIMEOUT_S):
+            while await self.connection.receive():
+                pass
+
+    async def linger(self) -> None:
+        """Tells the client that the connection has ended, and waits until it closes its side.
+
+        A request that the client sends meanwhile is left unread. The client may so send it again, and it
+        resets the connection only when the client has had time to read its last response.
+        """
+        self.connection.shut_down_sending()
+        with trio.move_on_after(LINGER_TIMEOUT_S):
+            await trio.lowlevel.wait_readable(self.connection.sock)
+            if not self.connection.is_closed_by_peer():
+                await trio.sleep_forever()
--- a/wheatroute/edge/connection.py
+++ b/wheatroute/edge/connection.py
@@ -60,6 +60,16 @@
         super().__init__(sock, role, peer)
         self.answered_ids: set[bytes] = set()
 
+    @property
+    def has_unanswered_input(self) -> bool:
+        """Whether bytes have arrived after the last parsed message, or the peer has closed its side."""
+        return self.has_unparsed_input or not self.is_reusable()
+
+    def shut_down_sending(self) -> None:
+        """Tells the peer that nothing more will be written; the rest of what was written still arrives."""
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
     def _queue(self, event: Any) -> None:
         self._unsent += self.http.send(event) or b""
 
--- a/wheatroute/edge/main.py
+++ b/wheatroute/edge/main.py
@@ -21,6 +21,7 @@
 PROBE_TIMEOUT_S = 2.4  # time within which the platform sends `MAX_FAILED_PROBES` probes
 DRAIN_DELAY_S = 0.3  # after the failed probes, time to accept connections that clients were already opening
 SHUTDOWN_MARGIN_S = 0.5  # time between the end of the shutdown and the platform's kill of the process
+CLOSE_TIMEOUT_S = 0.2  # part of that margin in which the last responses are written and connections closed
 POLL_INTERVAL_S = 0.05  # seconds between two checks of a shutdown condition
 
 
@@ -73,7 +74,7 @@
     async def _shut_down(self) -> None:
         """Accepts connections until the platform sends no new clients; then closes each once it is idle.
 
-        Ends when all requests are answered or the platform's grace period is nearly over.
+        Ends when all connections are closed or the platform's grace period is nearly over.
         """
         shutdown, started_at = self._node.shutdown, trio.current_time()
         shutdown.begin(started_at, self._node.settings.bounds.grace_s - SHUTDOWN_MARGIN_S)
@@ -82,12 +83,9 @@
         await trio.sleep(DRAIN_DELAY_S)
         self._clients.close_listener()
         shutdown.start_draining()
-        while trio.current_time() < shutdown.ends_at:
+        while self._clients.open_count and trio.current_time() < shutdown.ends_at + CLOSE_TIMEOUT_S:
             self._clients.close_idle()
-            if not self._clients.busy_count:
-                break
             await trio.sleep(POLL_INTERVAL_S)
-        self._clients.log_unanswered()
 
     async def _wait_for_failed_probes(self, deadline: float) -> None:
         """Waits until the platform must have noticed that this node is not ready, or until the deadline."""
--- a/wheatroute/edge/shutdown.py
+++ b/wheatroute/edge/shutdown.py
@@ -1,7 +1,8 @@
-"""The progress of an edge node's graceful shutdown. No I/O.
+"""The phases of an edge node's graceful shutdown. No I/O.
 
-From SIGTERM on the node is stopping. Its listener stays open until the platform sends no new clients; after
-that the node is draining: only connections that are open already can bring requests.
+From SIGTERM on the node is stopping: responses announce that their connection closes. The listener stays open
+until the platform sends no new clients. After that the node is draining: only connections that are open
+already can bring requests, and each of them ends with the response that is under way.
 """
 
 from __future__ import annotations
