Edge: take signals that arrive during a shutdown

What the platform saw: an edge node that got a second SIGTERM, or SIGHUP, while it was stopping ended by that signal instead of with status 0: trio raises signals that nobody took anew when their receiver closes. They are taken until the end now; SIGHUP reloads the settings. The test failed on the text before (SIGTERM was left over).

--- a/tests/edge/test_edge_shutdown.py
+++ b/tests/edge/test_edge_shutdown.py
@@ -205,3 +205,24 @@
         arrived = await session.read_request(idle_timeout_s=1.0, head_timeout_s=1.0)
     session.connection.close()
     assert arrived is not None and arrived.target == b"/plain/1"
+
+
+@scenario
+async def test_later_signals_neither_end_nor_cut_a_shutdown_short():
+    may_end = trio.Event()
+    server = ScriptedServer("i-1", stream_until(may_end))
+    previous = signal.signal(signal.SIGTERM, lambda number, frame: pytest.fail("SIGTERM was left over"))
+    try:
+        async with running(server) as edge:
+            await until(lambda: edge.node.is_ready)
+            client = await trio.open_tcp_stream("127.0.0.1", edge.port)
+            await client.send_all(request("/stream/1", close=False))
+            await read_until(client, b"data: a")
+            await stop_and_drain(edge)
+            for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+                os.kill(os.getpid(), number)
+            may_end.set()
+            assert (await read_all(client)).endswith(LAST_CHUNK)
+            await edge.ended.wait()
+    finally:
+        signal.signal(signal.SIGTERM, previous)
--- a/wheatroute/edge/main.py
+++ b/wheatroute/edge/main.py
@@ -4,6 +4,7 @@
 
 import logging
 import signal
+from collections.abc import AsyncIterator
 
 import trio
 
@@ -48,14 +49,24 @@
                 nursery.start_soon(self._check_pool)
                 nursery.start_soon(self._watch_settings)
                 self._log.info("listening")
-                async for number in signals:
-                    if number != signal.SIGHUP:
-                        break
-                    self._reload_settings()
+                await self._handle_signals(signals)
+                # A later signal that nobody takes would end the process by its default action.
+                nursery.start_soon(self._handle_later_signals, signals)
                 await self._shut_down()
                 nursery.cancel_scope.cancel()
         self._log.info("stopped")
 
+    async def _handle_signals(self, signals: AsyncIterator[int]) -> None:
+        """Reloads the settings on SIGHUP; returns on a signal that stops the node."""
+        async for number in signals:
+            if number != signal.SIGHUP:
+                return
+            self._reload_settings()
+
+    async def _handle_later_signals(self, signals: AsyncIterator[int]) -> None:
+        while True:
+            await self._handle_signals(signals)
+
     async def _watch_settings(self) -> None:
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
