All roles: a signal at the start or the very end changes nothing

The roles of the router set record early signals as the other programs do; an edge node that was stopped early serves the clients that wait and then shuts down, as its listener is open from its first moment. Every program ignores signals once its loop has ended. record_early_signals moves to a module that imports no other library, for the same reason that the listener is opened before the imports.

--- a/tests/edge/role.py
+++ b/tests/edge/role.py
@@ -38,16 +38,17 @@
 
 
 @asynccontextmanager
-async def running(*servers, seeds=None, seeds_file=None):
+async def running(*servers, seeds=None, seeds_file=None, early_signals=()):
     """Runs a role whose only control node is scripted.
 
-    `seeds` are its initial seeds, `seeds_file` is the settings file that it reloads.
+    `seeds` are its initial seeds, `seeds_file` is the settings file that it reloads, and `early_signals` have
+    arrived before it runs.
     """
     previous = os.environ.pop(SETTINGS_VARIABLE, None)
     if seeds_file is not None:
         os.environ[SETTINGS_VARIABLE] = str(seeds_file)
     try:
-        async with _running(servers, seeds) as edge:
+        async with _running(servers, seeds, early_signals) as edge:
             yield edge
     finally:
         os.environ.pop(SETTINGS_VARIABLE, None)
@@ -56,7 +57,7 @@
 
 
 @asynccontextmanager
-async def _running(servers, seeds):
+async def _running(servers, seeds, early_signals):
     with trio.fail_after(TIME_LIMIT_S):
         async with trio.open_nursery() as nursery:
             for server in servers:
@@ -79,7 +80,7 @@
             edge = Role(EdgeRole(settings, listeners, log), listeners, primary)
 
             async def run():
-                await edge.role.run()
+                await edge.role.run(early_signals)
                 edge.ended.set()
 
             nursery.start_soon(run)
--- a/tests/edge/test_edge_shutdown.py
+++ b/tests/edge/test_edge_shutdown.py
@@ -226,3 +226,12 @@
             await edge.ended.wait()
     finally:
         signal.signal(signal.SIGTERM, previous)
+
+
+# Lost: a node that was stopped before it had begun to serve left its waiting clients without an answer.
+@scenario
+async def test_a_node_that_is_stopped_while_it_starts_answers_the_clients_that_wait():
+    async with running(ScriptedServer("i-1"), early_signals=(signal.SIGTERM,)) as edge:
+        response = await edge.exchange(request("/plain/1", close=False))
+        await edge.ended.wait()
+    assert status(response) == 200 and b"Connection: close" in response
--- a/wheatroute/__main__.py
+++ b/wheatroute/__main__.py
@@ -16,6 +16,7 @@
 
 import trio
 
+from wheatroute.early_signals import ignore_signals, record_early_signals
 from wheatroute.net.addresses import format_address
 from wheatroute.net.balancer_driver import BalancerDriver
 from wheatroute.net.discovery import Discovery
@@ -28,7 +29,7 @@
     reload_node_settings,
 )
 from wheatroute.net.peers import Peers
-from wheatroute.net.signals import handle_signals, open_signal_receiver, record_early_signals
+from wheatroute.net.signals import handle_signals, open_signal_receiver
 from wheatroute.net.upstream import Upstream
 
 if TYPE_CHECKING:
@@ -168,6 +169,7 @@
     except OSError as error:
         print(f"wheatroute: {error}", file=sys.stderr)
         return 1
+    ignore_signals()
     return 0
 
 
--- a/wheatroute/control/main.py
+++ b/wheatroute/control/main.py
@@ -9,11 +9,13 @@
 import asyncio
 import logging
 import signal
+from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 from wheatroute.cluster.reload import CHECK_INTERVAL_S, SettingsFile
 from wheatroute.cluster.settings import Settings
 from wheatroute.control.service import ControlService
+from wheatroute.early_signals import STOP_SIGNALS, ignore_signals
 
 if TYPE_CHECKING:
     from wheatroute.control.http_servers import HttpServer
@@ -40,12 +42,18 @@
             service.apply_settings(settings_file.reload())
 
 
-async def serve(settings: Settings, log: logging.Logger) -> None:
-    """Runs the control role until SIGTERM or SIGINT; reloads the settings file on SIGHUP."""
+async def serve(settings: Settings, log: logging.Logger, early_signals: Sequence[int] = ()) -> None:
+    """Runs the control role until SIGTERM or SIGINT; reloads the settings file on SIGHUP.
+
+    `early_signals` are stop signals that arrived before this call; after one of them nothing is started.
+    """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
+    for signal_number in STOP_SIGNALS:
         loop.add_signal_handler(signal_number, stop.set)
+    if early_signals:
+        log.info("stopped")
+        return
     service = ControlService(settings, log)
     await service.start()
     settings_file = SettingsFile(settings, log)
@@ -63,4 +71,7 @@
     for server in servers:
         server.should_exit = True
     await asyncio.wait(tasks, timeout=SERVER_SHUTDOWN_TIMEOUT_S)
+    for signal_number in (*STOP_SIGNALS, signal.SIGHUP):
+        loop.remove_signal_handler(signal_number)
+    ignore_signals()
     log.info("stopped")
--- a/wheatroute/edge/main.py
+++ b/wheatroute/edge/main.py
@@ -4,12 +4,13 @@
 
 import logging
 import signal
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 
 import trio
 
 from wheatroute.cluster.reload import CHECK_INTERVAL_S, SettingsFile
 from wheatroute.cluster.settings import Settings
+from wheatroute.early_signals import STOP_SIGNALS
 from wheatroute.edge.clients import Clients
 from wheatroute.edge.control_client import ControlClient
 from wheatroute.edge.forwarding import Forwarder
@@ -39,9 +40,13 @@
         self._clients = Clients(self._node, forwarder, log)
         self._readiness = ReadinessProbe(self._node)
 
-    async def run(self) -> None:
-        """Runs until SIGTERM or SIGINT, and then until all accepted requests are answered."""
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+    async def run(self, early_signals: Sequence[int] = ()) -> None:
+        """Runs until SIGTERM or SIGINT, and then until all accepted requests are answered.
+
+        `early_signals` are stop signals that arrived before this call. After one of them the node shuts down
+        at once, but answers the clients that have connected since its listener was opened.
+        """
+        with trio.open_signal_receiver(*STOP_SIGNALS, signal.SIGHUP) as signals:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._control_client.run)
                 nursery.start_soon(self._clients.run, self._listeners.clients)
@@ -49,7 +54,8 @@
                 nursery.start_soon(self._check_pool)
                 nursery.start_soon(self._watch_settings)
                 self._log.info("listening")
-                await self._handle_signals(signals)
+                if not early_signals:
+                    await self._handle_signals(signals)
                 # A later signal that nobody takes would end the process by its default action.
                 nursery.start_soon(self._handle_later_signals, signals)
                 await self._shut_down()
@@ -104,6 +110,8 @@
             await trio.sleep(POLL_INTERVAL_S)
 
 
-async def serve(settings: Settings, listeners: Listeners, log: logging.Logger) -> None:
-    """Runs the edge role until it is stopped by a signal."""
-    await EdgeRole(settings, listeners, log).run()
+async def serve(
+    settings: Settings, listeners: Listeners, log: logging.Logger, early_signals: Sequence[int] = ()
+) -> None:
+    """Runs the edge role until it is stopped by a signal; `early_signals` are those that have arrived."""
+    await EdgeRole(settings, listeners, log).run(early_signals)
--- a/wheatroute/net/signals.py
+++ b/wheatroute/net/signals.py
@@ -11,19 +11,9 @@
 
 import trio
 
+from wheatroute.early_signals import STOP_SIGNALS
 from wheatroute.net.log import Logger
 
-STOP_SIGNALS = signal.SIGTERM, signal.SIGINT
-
-
-def record_early_signals() -> list[int]:
-    """Records stop signals in the returned list until a receiver is opened; ignores SIGHUP."""
-    early: list[int] = []
-    for number in STOP_SIGNALS:
-        signal.signal(number, lambda number, _: early.append(number))
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    return early
-
 
 def open_signal_receiver() -> AbstractContextManager[AsyncIterator[int]]:
     """Returns a context manager that receives the signals; enter it before the process listens."""
--- a/wheatroute/processor/program.py
+++ b/wheatroute/processor/program.py
@@ -16,10 +16,11 @@
 
 from wheatroute.config import settings_file
 from wheatroute.config.settings import Settings
+from wheatroute.early_signals import ignore_signals, record_early_signals
 from wheatroute.grpc.server import listen
 from wheatroute.net.addresses import parse_address
 from wheatroute.net.log import open_log
-from wheatroute.net.signals import open_signal_receiver, record_early_signals
+from wheatroute.net.signals import open_signal_receiver
 from wheatroute.processor.supervisor import BAD_SETTINGS_STATUS, WorkerSupervisor
 from wheatroute.processor.worker import FollowSettings, Worker
 from wheatroute.processor.worker_settings import derive_worker_settings
@@ -50,6 +51,7 @@
     commands = [_worker_command(path, number, descriptor) for number in range(settings.processor.workers)]
     supervisor = WorkerSupervisor(commands, (descriptor,), open_log(settings.name))
     trio.run(supervisor.run, early_signals)
+    ignore_signals()
     return supervisor.status
 
 
@@ -82,6 +84,7 @@
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
     trio.run(_serve, worker, listener, early_signals)
+    ignore_signals()
     return 0
 
 
--- a/wheatroute/system.py
+++ b/wheatroute/system.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 from typing import TYPE_CHECKING, NoReturn
 
 import click
 
+from wheatroute.early_signals import ignore_signals, record_early_signals
+
 if TYPE_CHECKING:
     from logging import Logger
 
@@ -32,8 +33,6 @@
     from wheatroute.cluster.logs import open_log
     from wheatroute.cluster.settings import SettingsError, read_settings
 
-    # By default SIGHUP would end a process that has just started. It is ignored until the role handles it.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         settings = read_settings()
         settings.require(REQUIRED_ADDRESSES[role])
@@ -56,6 +55,7 @@
 @system.command()
 def edge() -> None:
     """Accepts clients' requests and forwards them to model servers."""
+    early_signals = record_early_signals()
     settings, log = _read_settings("edge")
     from wheatroute.edge.listeners import open_listeners
 
@@ -68,19 +68,21 @@
 
     from wheatroute.edge.main import serve
 
-    trio.run(serve, settings, listeners, log)
+    trio.run(serve, settings, listeners, log, early_signals)
+    ignore_signals()
 
 
 @system.command()
 def control() -> None:
     """Keeps the configuration and the registry of servers, and distributes both to edge nodes."""
+    early_signals = record_early_signals()
     settings, log = _read_settings("control")
     import asyncio
 
     from wheatroute.control.main import serve
 
     try:
-        asyncio.run(serve(settings, log))
+        asyncio.run(serve(settings, log, early_signals))
     except OSError as error:
         _exit_without_address(log, error)
 
