--- a/tests/soak/process_cluster.py
+++ b/tests/soak/process_cluster.py
@@ -93,7 +93,7 @@
             "tolerate": {"machines": 1},
             "heartbeat_ms": HEARTBEAT_S * 1000,
             "data_dir": str(folder / self.node) if self.role == "control" else None,
-            "bounds": BOUNDS | bounds,
+            "bounds": self.system.bounds | bounds,
         }
         self.path = folder / f"{self.node}.yaml"
         (folder / self.node).mkdir(exist_ok=True)
@@ -133,6 +133,9 @@
 class ProcessCluster:
     """All processes, the server that they route to, and the clients; ends every process that it started."""
 
+    process_class = RouterProcess
+    bounds = BOUNDS  # bounds in the settings of all processes
+
     def __init__(self, folder, seed, block, controls, edges, tenants):
         if any(folder.iterdir()):
             raise FileExistsError(
@@ -141,9 +144,9 @@
         self.folder, self.rng, self.tenants = folder, Random(seed), tenants
         hosts = [f"127.{block}.0.{number}" for number in range(1, controls + 1)]
         self.seeds = hosts[:3]
-        self.controls = [RouterProcess(self, "control", host) for host in hosts]
+        self.controls = [self.process_class(self, "control", host) for host in hosts]
         self.edges = [
-            RouterProcess(self, "edge", f"127.{block}.1.{number}") for number in range(1, edges + 1)
+            self.process_class(self, "edge", f"127.{block}.1.{number}") for number in range(1, edges + 1)
         ]
         self.server_address = (f"127.{block}.2.1", 18080)
         self.generation = 0
