Node: answer a request that was read before the connection's last response ended

The head announces no close, and the connection is not closed, while part of another request has been read; the next response decides anew.

--- a/tests/net/race_harness.py
+++ b/tests/net/race_harness.py
@@ -128,6 +128,14 @@
     def reset(self):
         reset(self.sock)
 
+    def read_all(self):
+        """Reads until the connection ends; blocks meanwhile."""
+        self.sock.setblocking(True)
+        data = b""
+        while part := self.sock.recv(65536):
+            data += part
+        return data
+
     async def response(self):
         """Reads one complete message; returns (status, bytes), or None on a close or reset."""
         self.sock.setblocking(False)
--- a/tests/net/test_shutdown.py
+++ b/tests/net/test_shutdown.py
@@ -311,6 +311,29 @@
         assert status == 0
 
 
+# Lost: a request that was pipelined behind the last answer was read and never answered.
+@process_test
+async def test_a_request_that_was_read_before_the_last_response_is_answered(tmp_path):
+    server, go = Server(), trio.Event()
+    async with node_process(tmp_path, server, nodes=2, deadline=4.0) as node:
+        idle = Client(node.port)
+        assert (await idle.send(new_request(node, "view")[0]).response())[0] == 200
+        server.on = {"read": lambda _: go.wait()}
+        first, second = (new_request(node, "place", body="b", timeout="4000m") for _ in range(2))
+        client = Client(node.port).send(first[0])
+        await wait_until(lambda: first[1] in server.ids)
+        client.send(second[0])
+        node.process.send_signal(signal.SIGTERM)
+        assert await idle.response() is None  # from here on the node closes connections after responses
+        go.set()
+        answers = (await trio.to_thread.run_sync(client.read_all)).split(b"HTTP/1.1 ")[1:]
+        assert [answer[:3] for answer in answers] in ([b"200", b"200"], [b"200", b"503"])
+        assert [b"connection: close" in answer.lower() for answer in answers] == [False, True]
+        assert (answers[1][:3] == b"200") == (second[1] in server.ids)
+        status, _ = await wait_for_exit(node)
+        assert status == 0
+
+
 @process_test
 async def test_a_slow_reader_of_a_response_begun_before_the_shutdown_is_closed_after_it(tmp_path):
     body = b"x" * 400_000
--- a/wheatroute/net/response_writer.py
+++ b/wheatroute/net/response_writer.py
@@ -54,7 +54,7 @@
 
     def write(self, client: ClientConnection, response: Response) -> None:
         """Writes a response; returns without waiting for the client to read it."""
-        self._send(client, self._head(response), response.body)
+        self._send(client, self._head(client, response), response.body)
 
     def write_error(self, client: ClientConnection, error: MalformedError) -> None:
         """Answers a malformed message with a short reason and closes the connection."""
@@ -76,13 +76,14 @@
         )
         self._send(client, head, body)
 
-    def _head(self, response: Response) -> h11.Response:
+    def _head(self, client: ClientConnection, response: Response) -> h11.Response:
         headers = [(b"Content-Length", b"%d" % len(response.body))]
         if response.content_type:
             headers.append((b"Content-Type", response.content_type))
         if response.retry_after_s > 0.0:
             headers.append((b"Retry-After", b"%.3f" % response.retry_after_s))
-        if self._clients.must_announce_close:
+        # The connection stays open for a request of which a part was read: that request is answered, too.
+        if self._clients.must_announce_close and not client.connection.has_unparsed_input:
             headers.append((b"Connection", b"close"))
         reason = REASON_PHRASES[response.status]
         return h11.Response(status_code=response.status, headers=headers, reason=reason)
@@ -110,7 +111,8 @@
         """Prepares the connection for another request, or closes it, after a response was written."""
         is_last = client.close_reason is not None or not client.connection.start_next_message()
         # If the node began to stop while the response was written, the response has not announced the close.
-        if is_last or self._shutdown.is_stopping:
+        is_stopping = self._shutdown.is_stopping and not client.connection.has_unparsed_input
+        if is_last or is_stopping:
             self._half_close(client, client.close_reason or self._clients.close_reason())
             return
         self._on_ready(client)
