Rollouts: drain a candidate that is not ready in time before it is killed

It gets SIGTERM now and drains like a former serving process, with the same time-out before it is killed.

--- a/wheatroute/rollout/supervisor.py
+++ b/wheatroute/rollout/supervisor.py
@@ -63,7 +63,7 @@
         self.serving: NodeProcess | None = None
         # The process that replaces the serving one as soon as it is ready.
         self.candidate: NodeProcess | None = None
-        # Former serving processes that are stopping.
+        # Processes that are stopping: former serving ones, and candidates that were not ready in time.
         self.draining: list[NodeProcess] = []
         self._failed: list[FailedProgram] = []
         # The last failure of a program, for the status; "" once a candidate has been promoted.
@@ -256,19 +256,23 @@
         elif time.monotonic() - process.since > self._settings.ready_timeout_s:
             self._report_error(f"{process.program} was not ready within {self._settings.ready_timeout_s:g} s")
             self._add_failure(process.program)
-            process.signal(signal.SIGKILL)
+            self._drain(process)
             self.candidate = None
 
     def _promote(self, process: NodeProcess) -> None:
         """Makes the candidate the serving process; the former one gets SIGTERM and drains."""
         if self.serving is not None:
-            self.serving.signal(signal.SIGTERM)
-            self.serving.since = time.monotonic()
-            self.draining.append(self.serving)
+            self._drain(self.serving)
         self._log.info("candidate-promoted", program=process.program, pid=process.pid)
         self.serving, self.candidate = process, None
         self._last_error, self._last_program = "", process.program
 
+    def _drain(self, process: NodeProcess) -> None:
+        """Has a process answer its clients and end; it may have some even before it is ready."""
+        process.signal(signal.SIGTERM)
+        process.since = time.monotonic()
+        self.draining.append(process)
+
     def _is_still_draining(self, process: NodeProcess) -> bool:
         """Returns whether a process is still alive; kills it if it has exceeded the drain timeout."""
         if not process.is_alive:
