--- a/examples/demo.py
+++ b/examples/demo.py
@@ -47,7 +47,7 @@
             print(response.status, response.read().decode().strip(), flush=True)
         client.close()
     finally:
-        node.fail()
+        node.terminate()
         print("node ended with status", node.wait())
 
 
