Edge: time the shutdown of a node that was stopped while it started from the signal

Its node had got the signal while it imported its libraries; began_at was the end of the start, 0.2 s later, so every time of the shutdown was late by that, in the worst case the last one, too.

The recorder of early signals keeps the time of the first one, and the shutdown counts from it. FULL_SERVICE_S is 2.9 s, as the node sees its signal a little later than the platform sends it. The test fails on the text before (it has no time to count from).

--- a/tests/edge/role.py
+++ b/tests/edge/role.py
@@ -38,7 +38,7 @@
 
 
 @asynccontextmanager
-async def running(*servers, seeds=None, seeds_file=None, early_signals=()):
+async def running(*servers, seeds=None, seeds_file=None, early_signals=None):
     """Runs a role whose only control node is scripted.
 
     `seeds` are its initial seeds, `seeds_file` is the settings file that it reloads, and `early_signals` have
--- a/tests/edge/test_edge_shutdown.py
+++ b/tests/edge/test_edge_shutdown.py
@@ -21,6 +21,7 @@
 )
 from edge.role import running
 
+from wheatroute.early_signals import EarlySignals
 from wheatroute.edge import shutdown as shutdown_module
 from wheatroute.edge.client_session import ClientSession
 from wheatroute.edge.connection import StreamConnection
@@ -231,7 +232,22 @@
 # Lost: a node that was stopped before it had begun to serve left its waiting clients without an answer.
 @scenario
 async def test_a_node_that_is_stopped_while_it_starts_answers_the_clients_that_wait():
-    async with running(ScriptedServer("i-1"), early_signals=(signal.SIGTERM,)) as edge:
+    early = EarlySignals()
+    early.record(signal.SIGTERM)
+    async with running(ScriptedServer("i-1"), early_signals=early) as edge:
         response = await edge.exchange(request("/plain/1", close=False))
         await edge.ended.wait()
     assert status(response) == 200 and b"Connection: close" in response
+
+
+# Lost: the shutdown of a node that was stopped while it started was timed from the end of its start.
+@scenario
+async def test_a_shutdown_is_timed_from_the_signal_and_not_from_the_end_of_the_start():
+    early = EarlySignals()
+    early.record(signal.SIGTERM)
+    early._first_at -= 1.5
+    begun = trio.current_time()
+    async with running(ScriptedServer("i-1"), early_signals=early) as edge:
+        await until(lambda: edge.node.is_stopping)
+        assert edge.node.shutdown.began_at <= begun - 1.5 + (trio.current_time() - begun)
+        await edge.ended.wait()
--- a/tests/soak/shutdown_cluster.py
+++ b/tests/soak/shutdown_cluster.py
@@ -88,6 +88,7 @@
         self.exchanges = {}
         self.client_count = clients
         self.changes = 0  # acknowledged configurations
+        self.max_lag_s = 0.0  # longest delay of this process, in which it saw nothing
 
     # model server
 
@@ -197,7 +198,9 @@
         while True:
             for process in (*self.controls, *self.edges):
                 process.observe_end()
+            due = trio.current_time() + POLL_INTERVAL_S
             await trio.sleep(POLL_INTERVAL_S)
+            self.max_lag_s = max(self.max_lag_s, trio.current_time() - due)
 
     def violations(self):
         """Returns a line for each rule that was broken."""
--- a/wheatroute/edge/main.py
+++ b/wheatroute/edge/main.py
@@ -4,13 +4,13 @@
 
 import logging
 import signal
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator
 
 import trio
 
 from wheatroute.cluster.reload import CHECK_INTERVAL_S, SettingsFile
 from wheatroute.cluster.settings import Settings
-from wheatroute.early_signals import STOP_SIGNALS
+from wheatroute.early_signals import STOP_SIGNALS, EarlySignals
 from wheatroute.edge.clients import Clients
 from wheatroute.edge.control_client import ControlClient
 from wheatroute.edge.forwarding import Forwarder
@@ -40,7 +40,7 @@
         self._clients = Clients(self._node, forwarder, log)
         self._readiness = ReadinessProbe(self._node)
 
-    async def run(self, early_signals: Sequence[int] = ()) -> None:
+    async def run(self, early_signals: EarlySignals | None = None) -> None:
         """Runs until SIGTERM or SIGINT, and then until all accepted requests are answered.
 
         `early_signals` are stop signals that arrived before this call. After one of them the node shuts down
@@ -56,9 +56,10 @@
                 self._log.info("listening")
                 if not early_signals:
                     await self._handle_signals(signals)
+                stopped_at = trio.current_time() - (early_signals.age_s if early_signals else 0.0)
                 # A later signal that nobody takes would end the process by its default action.
                 nursery.start_soon(self._handle_later_signals, signals)
-                await self._shut_down()
+                await self._shut_down(stopped_at)
                 nursery.cancel_scope.cancel()
         self._log.info("stopped")
 
@@ -88,15 +89,16 @@
             await trio.sleep(POOL_CHECK_INTERVAL_S)
             self._node.pool.close_expired()
 
-    async def _shut_down(self) -> None:
+    async def _shut_down(self, stopped_at: float) -> None:
         """Accepts connections until the platform sends no new clients; then closes each once it is idle.
 
-        Ends when all connections are closed or the platform's grace period is nearly over.
+        Ends when all connections are closed or the platform's grace period, which began at `stopped_at`, is
+        nearly over.
         """
-        shutdown, started_at = self._node.shutdown, trio.current_time()
-        shutdown.begin(started_at, self._node.settings.bounds.grace_s - SHUTDOWN_MARGIN_S)
+        shutdown = self._node.shutdown
+        shutdown.begin(stopped_at, self._node.settings.bounds.grace_s - SHUTDOWN_MARGIN_S)
         self._log.info("stopping", extra={"busy": self._clients.busy_count})
-        await self._wait_for_failed_probes(started_at + PROBE_TIMEOUT_S)
+        await self._wait_for_failed_probes(stopped_at + PROBE_TIMEOUT_S)
         await trio.sleep(DRAIN_DELAY_S)
         self._clients.close_listener()
         shutdown.start_draining()
@@ -111,7 +113,7 @@
 
 
 async def serve(
-    settings: Settings, listeners: Listeners, log: logging.Logger, early_signals: Sequence[int] = ()
+    settings: Settings, listeners: Listeners, log: logging.Logger, early_signals: EarlySignals
 ) -> None:
     """Runs the edge role until it is stopped by a signal; `early_signals` are those that have arrived."""
     await EdgeRole(settings, listeners, log).run(early_signals)
--- a/wheatroute/edge/shutdown.py
+++ b/wheatroute/edge/shutdown.py
@@ -15,8 +15,8 @@
 import trio
 
 # Until this time after SIGTERM every request is admitted, even one that may outlast the shutdown: the
-# platform may not have noticed yet that this node is stopping.
-FULL_SERVICE_S = 3.0
+# platform may not have noticed yet that this node is stopping. It allows 3 s, and counts from its own signal.
+FULL_SERVICE_S = 2.9
 
 
 class ShutdownState:
