Edge: end the process without the interpreter's finalization

What is left of the grace period is for requests. The tests of the commands restore the handlers that record_early_signals replaces in the process of the tests.

--- a/tests/cluster/test_settings.py
+++ b/tests/cluster/test_settings.py
@@ -1,5 +1,7 @@
 """The settings file: read completely, or rejected with an error of one line."""
 
+import signal
+
 import pytest
 from click.testing import CliRunner
 
@@ -55,6 +57,16 @@
         parse_settings(GOOD).address("control")
 
 
+@pytest.fixture(autouse=True)
+def signal_handlers():
+    """Restores the signal handlers of this process, which a role's command replaces."""
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    handlers = [signal.getsignal(number) for number in numbers]
+    yield
+    for number, handler in zip(numbers, handlers, strict=True):
+        signal.signal(number, handler)
+
+
 @pytest.mark.parametrize(
     ("role", "line"),
     [("control", "no address for 'control'"), ("edge", "no address for 'ready'")],
--- a/wheatroute/system.py
+++ b/wheatroute/system.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import logging
+import os
 import sys
 from typing import TYPE_CHECKING, NoReturn
 
@@ -47,6 +49,16 @@
     sys.exit(LISTEN_FAILED_STATUS)
 
 
+def _exit_at_once() -> NoReturn:
+    """Ends the process with status 0, without the interpreter's finalization.
+
+    That has nothing left to do, but takes processor time: on a busy machine the platform would kill a process
+    that has used its whole grace period for requests.
+    """
+    logging.shutdown()
+    os._exit(0)
+
+
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 def system() -> None:
     """Starts a role of the router set; each reads the settings file that WHEATROUTE_SETTINGS names."""
@@ -70,6 +82,7 @@
 
     trio.run(serve, settings, listeners, log, early_signals)
     ignore_signals()
+    _exit_at_once()
 
 
 @system.command()
