--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,125 +1,189 @@
-"""A stream that breaks off is resumed at a server more than its route's `retries` allows."""
+"""A server that has deregistered is put back into service by a late heartbeat, once the primary changed."""
 
 from __future__ import annotations
 
 import asyncio
-import random
+import json
+import signal
 import sys
-from collections import defaultdict
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "rig2"))
 
 import rig  # noqa: E402
 
-EVENTS = 13  # the mean length of a stream on a small site
-STREAMS_PER_S, FOR_S = 30, 25.0
-# The dose of `garble` on the small sites: 0.6 of the servers break off 0.03 of their answers.
-SPOILING_SERVERS, SPOILED = 3, 0.03
-RETRIES = 1
-MOST_ALLOWED = 3  # BUDGET: "Over three client requests"
+DRAIN_S = rig.BOUNDS["drain_ms"] / 1000
+CONTACT_S = rig.BOUNDS["contact_ms"] / 1000
+LATE_S = 4.0  # from the heartbeat's sending to its arrival
+SERVE_ON_S = 5.5  # from the acknowledgement of the DELETE to the server's end
+REQUESTS_PER_S = 40
 ROUTE = {
-    "name": "draft",
+    "name": "lookup",
     "hostname": rig.HOST,
-    "path_prefix": "/draft/",
-    "kind": "streaming",
-    "timeout_ms": 6000,
-    "target_ms": 800,
+    "path_prefix": "/lookup/",
+    "kind": "unsafe",
+    "timeout_ms": 1500,
+    "target_ms": 200,
     "priority": 0,
-    "backend": "llm",
-    "retries": RETRIES,
-    "resume": True,
-    "gap_aim_ms": 300,
+    "backend": "records",
+    "retries": 1,
     "public": True,
 }
 CONFIGURATION = {
     "generation": 1,
     "routes": [ROUTE],
-    "services": [{"name": "llm", "health_path": "/healthz", "max_conns": 370}],
+    "services": [{"name": "records", "health_path": "/healthz", "max_conns": 110}],
 }
 
 
-def event(number: int) -> bytes:
-    """Returns one event of a stream as a chunk."""
-    text = b"id: %d\ndata: piece %d\n\n" % (number, number)
-    return b"%x\r\n%s\r\n" % (len(text), text)
-
-
-class StreamServer(rig.Server):
-    """Answers with a stream of `EVENTS` events; breaks off a share `spoiled` of them halfway."""
-
-    def __init__(self, record: rig.Record, identity: str, ip: str, spoiled: float) -> None:
-        super().__init__(record, identity, "llm", ip, self._handle)
-        self._spoiled = spoiled
-
-    async def _handle(self, server: rig.Server, request: rig.Message, writer: asyncio.StreamWriter) -> bool:
-        fields = self.stamp(request) | {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
-        head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
-        await asyncio.sleep(0.05)
-        writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
-        breaks_off = random.random() < self._spoiled
-        for number in range(int(request.headers.get("last-event-id", "-1")) + 1, EVENTS):
-            if breaks_off and number == EVENTS // 2:
-                self.record.add(f"{self.identity}: breaks off {request.headers['request-id']}")
-                writer.transport.abort()
-                return False
-            writer.write(event(number))
-            await asyncio.sleep(0.02)
-        writer.write(b"0\r\n\r\n")
-        return True
-
-
-async def send(deployment: rig.Deployment, edge: rig.Node, results: list[bool]) -> None:
-    """Sends one request, and checks the stream that comes back."""
-    request_id = rig.new_id()
-    data = rig.request_bytes("POST", "/draft/1", request_id, {"Timeout-Ms": "6000"}, b"q" * 900)
-    response = await rig.exchange((edge.ip, rig.FRONT_PORT), data, 6.0)
-    text = b"".join(b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(EVENTS))
-    is_whole = response is not None and response.status == 200 and response.body == text
-    results.append(is_whole)
-    deployment.record.add(f"client: {request_id} at {edge.name}: {'whole' if is_whole else 'not whole'}")
+class HeldConnection:
+    """The way of one server to one control node; while `is_held`, it passes bytes on `LATE_S` late."""
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self._target = target
+        self.is_held = False
+
+    async def start(self, ip: str) -> tuple[str, int]:
+        """Listens; returns the address."""
+        server = await asyncio.start_server(self._serve, ip, 0)
+        return server.sockets[0].getsockname()[:2]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            data = await reader.read(65536)
+            if self.is_held:
+                await asyncio.sleep(LATE_S)
+            to_reader, to_writer = await asyncio.open_connection(*self._target)
+            to_writer.write(data)
+            while answer := await to_reader.read(65536):
+                writer.write(answer)
+                await writer.drain()
+            to_writer.close()
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+
+async def answer(server: rig.Server, request: rig.Message, writer: asyncio.StreamWriter) -> bool:
+    """Answers after the time that a look-up takes."""
+    await asyncio.sleep(0.045)
+    server.answer(request, writer, b"x" * 800)
+    return True
+
+
+async def send_requests(deployment: rig.Deployment, answers: list[tuple[str, int]]) -> None:
+    """Sends requests to the edge nodes in turn, each on a new connection, until cancelled."""
+    pending: set[asyncio.Task[None]] = set()
+
+    async def send(edge: rig.Node) -> None:
+        request_id = rig.new_id()
+        data = rig.request_bytes("POST", "/lookup/1", request_id, {"Timeout-Ms": "1500"}, b"q" * 600)
+        response = await rig.exchange((edge.ip, rig.FRONT_PORT), data, 1.5)
+        status = response.status if response is not None else 0
+        answers.append((request_id, status))
+        deployment.record.add(f"client: {request_id} at {edge.name}: {status or 'no answer'}")
+
+    number = 0
+    while True:
+        task = asyncio.create_task(send(deployment.edges[number % len(deployment.edges)]))
+        pending.add(task)
+        task.add_done_callback(pending.discard)
+        number += 1
+        await asyncio.sleep(1 / REQUESTS_PER_S)
 
 
 async def case(record: rig.Record, has_trouble: bool) -> int:
     """Runs the case; returns its result."""
     deployment = rig.Deployment(record)
     servers = [
-        StreamServer(
-            record,
-            f"i-{number}",
-            f"{deployment.network}.{30 + number}",
-            SPOILED if has_trouble and number <= SPOILING_SERVERS else 0.0,
-        )
-        for number in range(1, 6)
+        rig.Server(record, f"i-{number}", "records", f"{deployment.network}.{30 + number}", answer)
+        for number in range(1, 4)
     ]
-    results: list[bool] = []
+    load = None
     try:
         await deployment.start()
         await deployment.configure(CONFIGURATION, 0)
         for server in servers:
             await server.start(deployment.control_addresses)
         await deployment.wait_until_ready()
-        await asyncio.sleep(4.0)
-        pending = set()
-        for number in range(int(STREAMS_PER_S * FOR_S)):
-            edge = deployment.edges[number % len(deployment.edges)]
-            pending.add(asyncio.create_task(send(deployment, edge, results)))
-            await asyncio.sleep(1 / STREAMS_PER_S)
-        await asyncio.wait(pending)
+        await asyncio.sleep(2.0)
+        answers: list[tuple[str, int]] = []
+        load = asyncio.create_task(send_requests(deployment, answers))
+        await asyncio.sleep(2.0)
+        return await _leave(record, deployment, servers[0], answers, has_trouble)
     finally:
+        if load is not None:
+            load.cancel()
         for server in servers:
             await server.end()
         await deployment.stop()
-    ran_on: dict[str, set[str]] = defaultdict(set)
-    for server in servers:
-        for _, request in server.arrivals:
-            ran_on[request.headers["request-id"]].add(server.identity)
-    over = {request_id: where for request_id, where in ran_on.items() if len(where) > RETRIES}
-    for request_id, where in over.items():
-        record.add(f"{request_id} ran on {', '.join(sorted(where))}")
-    record.say(f"{len(results)} requests, {sum(results)} of them answered with the whole stream")
-    record.say(f"requests that ran on more than {RETRIES} server(s), none of which crashed: {len(over)}")
-    return rig.BROKEN if len(over) > MOST_ALLOWED else rig.HELD
+
+
+async def _leave(
+    record: rig.Record,
+    deployment: rig.Deployment,
+    leaver: rig.Server,
+    answers: list[tuple[str, int]],
+    has_trouble: bool,
+) -> int:
+    """Has a server leave, with a late heartbeat and a new primary; returns the result of the case."""
+    primary = deployment.primary()
+    if primary is None:
+        raise rig.CannotRunError("no primary")
+    others = [node for node in deployment.controls if node is not primary]
+    heir = min(others, key=lambda node: node.ip)
+    path = f"/-/instances/{leaver.identity}"
+    await leaver.stop_beats()
+
+    # One more heartbeat, to a control node that isn't the primary. It has no answer within a second, so that
+    # the server sends the next one to the next node.
+    way = HeldConnection((heir.ip, rig.CONTROL_PORT))
+    way.is_held = has_trouble
+    held = await way.start(leaver.ip)
+    record.say(f"{leaver.identity}: heartbeat {leaver.seq + 1} to {heir.name}, primary is {primary.name}")
+    first = await rig.call_control(held, "PUT", path, leaver.next_beat())
+    if first is None:
+        leaver.control = [(primary.ip, rig.CONTROL_PORT)]
+        if not await leaver.beat():
+            raise rig.CannotRunError("the next heartbeat had no answer")
+        record.say(f"{leaver.identity}: heartbeat {leaver.seq} acknowledged by {primary.name}")
+
+    # The planned end: DELETE first, then the server serves on.
+    gone = await rig.call_control((primary.ip, rig.CONTROL_PORT), "DELETE", path, None)
+    if gone is None or gone.status != 200:
+        raise rig.CannotRunError("the DELETE was not acknowledged")
+    gone_at = time.monotonic()
+    record.say(f"{leaver.identity}: DELETE acknowledged by {primary.name}")
+    touched_at = 0.0
+    if has_trouble:
+        await asyncio.sleep(0.3)
+        primary.send(signal.SIGKILL)
+        touched_at = time.monotonic() + CONTACT_S
+        record.say(f"{primary.name}: killed")
+    await asyncio.sleep(gone_at + SERVE_ON_S - time.monotonic())
+    if has_trouble and deployment.primary() is not heir:
+        raise rig.CannotRunError(f"{heir.name} did not become the primary")
+
+    # The server ends: what it still runs breaks off.
+    await leaver.end()
+    ended_at = time.monotonic()
+    await asyncio.sleep(0.5)
+    counted_from = max(gone_at + DRAIN_S, touched_at)
+    late = [request.headers["request-id"] for at, request in leaver.arrivals if at > counted_from]
+    early = [at for at, _ in leaver.arrivals if gone_at + 0.2 < at <= counted_from]
+    served = sum(1 for _, status in answers if status == 200)
+    cut = [one for one in answers if one[0] in late and one[1] != 200]
+    record.say(f"{len(answers)} requests answered, {served} of them with 200")
+    record.say(f"arrivals at {leaver.identity} from 0.2 s after its DELETE until then: {len(early)}")
+    record.say(
+        f"arrivals at {leaver.identity} later than drain_ms after its DELETE was acknowledged, from edge "
+        f"nodes in touch: {len(late)}, of which without a success: {len(cut)}; it ended "
+        f"{ended_at - gone_at:.1f} s after the acknowledgement"
+    )
+    record.add(json.dumps(late))
+    return rig.BROKEN if late else rig.HELD
 
 
 if __name__ == "__main__":
