--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -15,6 +15,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -489,4 +490,7 @@
     except CannotRunError as error:
         record.say(f"the case could not run: {error}")
         result = NOT_RUN
+    except Exception:
+        record.say(f"the case could not run:\n{traceback.format_exc()}")
+        result = NOT_RUN
     sys.exit(result)
