Control, edge: logs say which servers left or returned, and what told so

Change: the registry notes each change of a server's state with its cause, and the first heartbeat that it ignores; the primary logs them (server-changed) and what it restored (registry-restored); an edge node logs which servers an update adds and drops, with the registry's version and whether the update is full and settled (servers-changed). Measured: tests/control and tests/edge pass.

--- a/wheatroute/control/registry.py
+++ b/wheatroute/control/registry.py
@@ -18,6 +18,7 @@
 
 from wheatroute.cluster.messages import Instance, InstanceState, RegistryVersion
 from wheatroute.cluster.settings import SettingsError, split_address
+from wheatroute.control.instance_events import InstanceCause, InstanceEvent
 
 UNRESPONSIVE_HEARTBEATS = 2.3  # heartbeat intervals without a heartbeat until a server is unresponsive
 REMOVED_HEARTBEATS = 8.0  # heartbeat intervals without a heartbeat until a server is removed
@@ -69,12 +70,13 @@
 class _Entry:
     """An instance with the sequence number and the time of its last heartbeat."""
 
-    __slots__ = ("instance", "seq", "last_heartbeat", "is_unconfirmed")
+    __slots__ = ("instance", "seq", "last_heartbeat", "is_unconfirmed", "is_ignored")
 
     def __init__(self, instance: Instance, seq: int, last_heartbeat: float) -> None:
         self.instance, self.seq, self.last_heartbeat = instance, seq, last_heartbeat
         # whether it was restored from the previous primary's registry and has sent no heartbeat since
         self.is_unconfirmed = False
+        self.is_ignored = False  # whether a heartbeat was ignored since the server was removed
 
 
 def decode_heartbeat(body: bytes) -> ServerHeartbeat:
@@ -107,6 +109,12 @@
         self._newest_pruned_change = 0  # highest `Instance.changed` of the instances forgotten so far
         self._listening_since = now
         self._last_check = now
+        self._events: list[InstanceEvent] = []
+
+    def take_events(self) -> list[InstanceEvent]:
+        """Returns what happened to servers since the last call."""
+        events, self._events = self._events, []
+        return events
 
     @property
     def version(self) -> RegistryVersion:
@@ -147,7 +155,10 @@
         """
         entry = self._entries.get(identity)
         if entry is not None:
-            if heartbeat.seq < entry.seq or entry.instance.state == InstanceState.REMOVED:
+            if entry.instance.state == InstanceState.REMOVED:
+                self._record_ignored(entry)
+                return False
+            if heartbeat.seq < entry.seq:
                 return False
             entry.seq, entry.last_heartbeat, entry.is_unconfirmed = heartbeat.seq, now, False
         state = InstanceState.READY if heartbeat.state == "ready" else InstanceState.DRAINING
@@ -167,10 +178,12 @@
         if entry is None:
             self._reserve(_memory(reported))
             self._entries[identity] = _Entry(self._with_new_version(reported), heartbeat.seq, now)
+            self._record_event(None, reported, InstanceCause.HEARTBEAT)
             return True
         if _is_unchanged(entry.instance, reported):
             return False
         self._reserve(_memory(reported) - _memory(entry.instance))
+        self._record_event(entry.instance.state, reported, InstanceCause.HEARTBEAT)
         entry.instance = self._with_new_version(reported)
         return True
 
@@ -193,8 +206,9 @@
             )
             self._reserve(_memory(removed))
             self._entries[identity] = _Entry(self._with_new_version(removed), 0, now)
+            self._record_event(None, removed, InstanceCause.DEREGISTERED)
             return True
-        return self._set_state(entry, InstanceState.REMOVED, now)
+        return self._set_state(entry, InstanceState.REMOVED, now, InstanceCause.DEREGISTERED)
 
     def last_heartbeat(self, identity: str) -> float | None:
         """The time of a ready server's last heartbeat; None for any other server."""
@@ -208,7 +222,9 @@
     def mark_unresponsive(self, identity: str) -> None:
         """Marks a ready server as unresponsive because it is suspected, even if it missed no heartbeat."""
         entry = self._entries[identity]
-        self._set_state(entry, InstanceState.UNRESPONSIVE, entry.last_heartbeat)
+        entry.instance = self._with_new_version(
+            msgspec.structs.replace(entry.instance, state=InstanceState.UNRESPONSIVE)
+        )
 
     def apply_missed_heartbeats(self, now: float) -> bool:
         """Updates servers that missed heartbeats; returns whether one became unresponsive or was removed."""
@@ -228,9 +244,12 @@
                     self._held_bytes -= _memory(entry.instance)
                     del self._entries[identity]
             elif missed > (SETTLING_HEARTBEATS if entry.is_unconfirmed else REMOVED_HEARTBEATS):
-                changed |= self._set_state(entry, InstanceState.REMOVED, now)
+                cause = InstanceCause.UNCONFIRMED if entry.is_unconfirmed else InstanceCause.MISSED_HEARTBEATS
+                changed |= self._set_state(entry, InstanceState.REMOVED, now, cause)
             elif missed > UNRESPONSIVE_HEARTBEATS and entry.instance.state == InstanceState.READY:
-                changed |= self._set_state(entry, InstanceState.UNRESPONSIVE, entry.last_heartbeat)
+                changed |= self._set_state(
+                    entry, InstanceState.UNRESPONSIVE, entry.last_heartbeat, InstanceCause.MISSED_HEARTBEATS
+                )
         return changed
 
     def changes(self, since: RegistryVersion) -> tuple[tuple[Instance, ...], bool]:
@@ -252,10 +271,26 @@
         self._change_count += 1
         return msgspec.structs.replace(instance, changed=self._change_count)
 
-    def _set_state(self, entry: _Entry, state: InstanceState, last_heartbeat: float) -> bool:
+    def _record_event(self, previous: InstanceState | None, instance: Instance, cause: InstanceCause) -> None:
+        if previous != instance.state:
+            self._events.append(InstanceEvent(instance.id, previous, instance.state, cause))
+
+    def _record_ignored(self, entry: _Entry) -> None:
+        """Records the first heartbeat that is ignored since the server was removed."""
+        if not entry.is_ignored:
+            entry.is_ignored = True
+            state = entry.instance.state
+            self._events.append(
+                InstanceEvent(entry.instance.id, state, state, InstanceCause.HEARTBEAT_IGNORED)
+            )
+
+    def _set_state(
+        self, entry: _Entry, state: InstanceState, last_heartbeat: float, cause: InstanceCause
+    ) -> bool:
         entry.last_heartbeat = last_heartbeat
         if entry.instance.state == state:
             return False
+        self._record_event(entry.instance.state, msgspec.structs.replace(entry.instance, state=state), cause)
         entry.instance = self._with_new_version(msgspec.structs.replace(entry.instance, state=state))
         return True
 
--- a/wheatroute/control/service.py
+++ b/wheatroute/control/service.py
@@ -110,11 +110,26 @@
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             if self.state.registry.apply_missed_heartbeats(loop.time()):
                 self._polls.notify_all()
+            self._log_instance_events()
             if self.leadership.is_leading:
                 self.state.quotas.reserve(loop.time(), self.state.edge_nodes)
                 self._sharing.share_registry()
                 self._sharing.share_levels(loop.time())
 
+    def _log_instance_events(self) -> None:
+        """Logs what happened to servers: which left or returned, and what told so."""
+        for event in self.state.registry.take_events():
+            self._log.info(
+                "server-changed",
+                extra={
+                    "server": event.server,
+                    "previous": event.previous.value if event.previous is not None else None,
+                    "state": event.state.value,
+                    "cause": event.cause.value,
+                    "epoch": self.state.leadership_epoch,
+                },
+            )
+
     # requests of operators
 
     async def change(self, change: Change) -> int:
--- a/wheatroute/control/soft_state_sharing.py
+++ b/wheatroute/control/soft_state_sharing.py
@@ -121,6 +121,10 @@
             self._log.warning("soft-state-skipped", extra={"error": str(error)})
             return
         self._state.restore(now, soft_state)
+        self._log.info(
+            "registry-restored",
+            extra={"epoch": self._leadership.epoch, "servers": [one.id for one in soft_state.instances]},
+        )
         levels = decode_levels(self._replicator.bucket_levels) or soft_state.levels()
         self._state.restore_levels(levels, now - self._replicator.bucket_levels_at)
         self._log_levels(levels)
--- a/wheatroute/edge/instances.py
+++ b/wheatroute/edge/instances.py
@@ -149,6 +149,10 @@
     def __len__(self) -> int:
         return len(self._servers)
 
+    def ids(self) -> set[str]:
+        """Returns the ids of all servers that this node knows."""
+        return set(self._servers)
+
     def get(self, server_id: str) -> Server | None:
         """Returns the server with this id, None if it is unknown."""
         return self._servers.get(server_id)
--- a/wheatroute/edge/node.py
+++ b/wheatroute/edge/node.py
@@ -13,7 +13,7 @@
 from wheatroute.cluster.process_limits import data_bytes, edge_connections
 from wheatroute.cluster.settings import Settings
 from wheatroute.edge.hedge_timer import HedgeTimer
-from wheatroute.edge.instances import InstanceTable
+from wheatroute.edge.instances import InstanceTable, Server
 from wheatroute.edge.pool import StreamConnectionPool
 from wheatroute.edge.quota_leases import QuotaLeases
 from wheatroute.edge.retry_budget import RetryBudget
@@ -88,6 +88,25 @@
                 "configuration-applied",
                 extra={"version": table.generation, "sequence": table.sequence, "epoch": update.epoch},
             )
-        for server in self.instances.apply(update, trio.current_time()):
+        known = self.instances.ids()
+        departed = self.instances.apply(update, trio.current_time())
+        for server in departed:
             self.pool.close_idle(server)
             self.selector.forget(server)
+        self._log_servers(update, self.instances.ids() - known, departed)
+
+    def _log_servers(self, update: Update, added: set[str], departed: list[Server]) -> None:
+        """Logs the servers that an update adds, and those that it drains or removes."""
+        if not added and not departed:
+            return
+        self.log.info(
+            "servers-changed",
+            extra={
+                "added": sorted(added),
+                "departed": sorted(server.id for server in departed),
+                "epoch": update.registry.epoch,
+                "number": update.registry.number,
+                "is_full": update.is_full,
+                "is_settled": update.is_settled,
+            },
+        )
