Registry: a server that was removed for its silence alone returns with its next heartbeat

Cause: REMOVED was final whatever led to it. A new primary removes the servers that it restored and doesn't hear within three heartbeat intervals; one that beat later than that was acknowledged and ignored for REMOVED_RETENTION_S. Change: the registry keeps apart what a server said (draining, DELETE: final) and what its silence suggests (reversible). The same for a server that was cut off for eight intervals with no primary lost.

--- a/tests/control/test_server_registry.py
+++ b/tests/control/test_server_registry.py
@@ -129,6 +129,52 @@
     assert states(servers) == {"a": "gone"}
 
 
+# After a restart of all nodes, servers whose next heartbeat came late stayed out of service for two minutes.
+@pytest.mark.parametrize("is_restored", (True, False))
+def test_a_server_that_was_removed_for_its_silence_returns_with_its_next_heartbeat(is_restored):
+    servers = registry()
+    servers.heartbeat(0.0, "a", heartbeat(1))
+    if is_restored:
+        shared = servers.live_instances()
+        servers = Registry(epoch=3, heartbeat_s=HEARTBEAT_S, now=0.0)
+        servers.restore(0.0, shared)
+    run(servers, 9.0)
+    known = servers.version
+    assert states(servers) == {"a": "gone"}
+    assert servers.heartbeat(9.0, "a", heartbeat(2))
+    changed, is_full = servers.changes(known)
+    assert [(one.id, one.state.value) for one in changed] == [("a", "ready")] and not is_full
+    # From then on it is a server like any other: its silence counts from its last heartbeat.
+    run(servers, 11.0, begin=9.0)
+    assert states(servers) == {"a": "ready"}
+
+
+def test_a_server_that_said_it_leaves_stays_away_although_silence_removed_it():
+    servers = registry()
+    servers.heartbeat(0.0, "a", heartbeat(1))
+    servers.heartbeat(0.1, "a", heartbeat(3, "draining"))
+    run(servers, 9.0)
+    assert states(servers) == {"a": "gone"}
+    assert not servers.heartbeat(9.0, "a", heartbeat(2)) and not servers.heartbeat(9.1, "a", heartbeat(4))
+    assert states(servers) == {"a": "gone"}
+
+
+def test_a_server_that_deregisters_after_its_silence_stays_removed():
+    servers = registry()
+    servers.heartbeat(0.0, "a", heartbeat(1))
+    run(servers, 9.0)
+    servers.remove(9.0, "a")
+    assert not servers.heartbeat(9.1, "a", heartbeat(2)) and states(servers) == {"a": "gone"}
+
+
+def test_a_server_that_was_removed_for_its_silence_may_return_as_draining():
+    servers = registry()
+    servers.heartbeat(0.0, "a", heartbeat(1))
+    run(servers, 9.0)
+    assert servers.heartbeat(9.0, "a", heartbeat(2, "draining"))
+    assert not servers.heartbeat(9.1, "a", heartbeat(3)) and states(servers) == {"a": "draining"}
+
+
 def test_a_heartbeat_with_unknown_fields_is_decoded():
     decoded = decode_heartbeat(
         b'{"backend":"s","addr":"h:1","seq":"4","models":[{"name":"m","adapters":[]}],"x":1}'
--- a/wheatroute/control/registry.py
+++ b/wheatroute/control/registry.py
@@ -4,10 +4,12 @@
 received them, and rebuilds the rest from heartbeats. Until a primary has listened for `SETTLING_HEARTBEATS`
 heartbeat intervals, a server from which it has received no heartbeat counts as unknown, not as removed.
 
-States of an instance: READY -> UNRESPONSIVE, by missed heartbeats or suspicion; UNRESPONSIVE -> READY, by a
-new heartbeat; READY or UNRESPONSIVE -> DRAINING; any of the three -> REMOVED. REMOVED is final, and DRAINING
-leads to REMOVED only, since an incarnation that drains always ends. All times are in seconds of the monotonic
-clock.
+States of an instance: READY -> UNRESPONSIVE, by missed heartbeats or suspicion; READY or UNRESPONSIVE ->
+DRAINING, by the server's word; any of the three -> REMOVED, by its DELETE or by its silence. What a server
+has said of its end is final: DRAINING leads to REMOVED only, and then no heartbeat brings the server back,
+since an incarnation that drains or deregisters always ends. Silence says nothing final: a heartbeat makes an
+UNRESPONSIVE server READY again, and also one that was REMOVED for its silence alone. All times are in seconds
+of the monotonic clock.
 """
 
 from __future__ import annotations
@@ -70,12 +72,14 @@
 class _Entry:
     """An instance with the sequence number and the time of its last heartbeat."""
 
-    __slots__ = ("instance", "seq", "last_heartbeat", "is_unconfirmed", "is_ignored")
+    __slots__ = ("instance", "seq", "last_heartbeat", "is_unconfirmed", "has_departed", "is_ignored")
 
     def __init__(self, instance: Instance, seq: int, last_heartbeat: float) -> None:
         self.instance, self.seq, self.last_heartbeat = instance, seq, last_heartbeat
         # whether it was restored from the previous primary's registry and has sent no heartbeat since
         self.is_unconfirmed = False
+        # whether the server itself has announced its end, by a heartbeat or by its DELETE
+        self.has_departed = instance.state == InstanceState.DRAINING
         self.is_ignored = False  # whether a heartbeat was ignored since the server was removed
 
 
@@ -132,7 +136,8 @@
     def restore(self, now: float, instances: tuple[Instance, ...]) -> None:
         """Restores the instances that the previous primary shared.
 
-        An instance from which no heartbeat arrives within `SETTLING_HEARTBEATS` intervals is removed.
+        An instance that sends no heartbeat within `SETTLING_HEARTBEATS` intervals is removed, until it sends
+        one.
         """
         for instance in instances:
             entry = _Entry(self._with_new_version(instance), -1, now)
@@ -155,14 +160,14 @@
         """
         entry = self._entries.get(identity)
         if entry is not None:
-            if entry.instance.state == InstanceState.REMOVED:
+            if entry.has_departed and entry.instance.state == InstanceState.REMOVED:
                 self._record_ignored(entry)
                 return False
             if heartbeat.seq < entry.seq:
                 return False
             entry.seq, entry.last_heartbeat, entry.is_unconfirmed = heartbeat.seq, now, False
         state = InstanceState.READY if heartbeat.state == "ready" else InstanceState.DRAINING
-        if entry is not None and entry.instance.state == InstanceState.DRAINING:
+        if entry is not None and entry.has_departed:
             state = InstanceState.DRAINING
         reported = Instance(
             id=identity,
@@ -185,6 +190,7 @@
         self._reserve(_memory(reported) - _memory(entry.instance))
         self._record_event(entry.instance.state, reported, InstanceCause.HEARTBEAT)
         entry.instance = self._with_new_version(reported)
+        entry.has_departed = state == InstanceState.DRAINING
         return True
 
     def _reserve(self, growth_bytes: int) -> None:
@@ -205,9 +211,11 @@
                 id=identity, service="", address="", zone="", slots=0, state=InstanceState.REMOVED, changed=0
             )
             self._reserve(_memory(removed))
-            self._entries[identity] = _Entry(self._with_new_version(removed), 0, now)
+            entry = self._entries[identity] = _Entry(self._with_new_version(removed), 0, now)
+            entry.has_departed = True
             self._record_event(None, removed, InstanceCause.DEREGISTERED)
             return True
+        entry.has_departed = True
         return self._set_state(entry, InstanceState.REMOVED, now, InstanceCause.DEREGISTERED)
 
     def last_heartbeat(self, identity: str) -> float | None:
