Control: no heartbeat counts as missed before the primary's listeners are open

Change: silence is counted from the moment at which the listeners are open, as it is after a stall of the process. Measured: the new test of test_control_nodes.py passes; without the line in control/main.py it fails ('gone' instead of 'ready').

--- a/tests/control/test_control_nodes.py
+++ b/tests/control/test_control_nodes.py
@@ -8,15 +8,17 @@
 import re
 import signal
 import socket
+import threading
 
 import msgspec.yaml
 import pytest
 
 from wheatroute.cluster.errors import RequestError
+from wheatroute.cluster.messages import Instance, InstanceState, RegistryVersion
 from wheatroute.cluster.settings import SETTINGS_VARIABLE, FailureTolerance, Settings
 from wheatroute.control import main as control_main
 from wheatroute.control.changes import Change, decode_state
-from wheatroute.control.registry import ServerHeartbeat
+from wheatroute.control.registry import REMOVED_HEARTBEATS, ServerHeartbeat
 from wheatroute.control.service import ControlService
 from wheatroute.replication.messages import SoftStateUpdate
 from wheatroute.replication.storage import FILE_NAME, MemoryStorage
@@ -302,6 +304,70 @@
     assert found.damaged == ["document"]
 
 
+# A node that led before its listeners were open counted the heartbeats that servers could not send as missed.
+def test_no_heartbeat_counts_as_missed_before_the_listeners_of_the_primary_are_open(
+    tmp_path, monkeypatch, restored_signals
+):
+    port = free_port()
+    single = settings(
+        HOSTS[0],
+        port,
+        tmp_path,
+        seeds=(f"{HOSTS[0]}:{port + 2}",),
+        tolerate=FailureTolerance(machines=0),
+        heartbeat_ms=20.0,
+    )
+    instance = Instance("i-1", "s", "10.0.0.9:80", "z", 4, InstanceState.READY, 1)
+    services, may_listen = [], threading.Event()
+    checks = []  # times of the checks for missed heartbeats
+    import_and_make_servers = control_main._import_and_make_servers
+
+    class RestoredService(ControlService):
+        """Restores a server as soon as it leads."""
+
+        def __init__(self, *arguments):
+            super().__init__(*arguments)
+            services.append(self)
+
+        def _apply_missed_heartbeats(self, now):
+            super()._apply_missed_heartbeats(now)
+            checks.append(now)
+
+        def _on_view_change(self):
+            super()._on_view_change()
+            if self.leadership.is_leading and not self.state.registry.live_instances():
+                self.state.registry.restore(asyncio.get_running_loop().time(), (instance,))
+
+    def open_late(*arguments):
+        assert may_listen.wait(SCENARIO_TIMEOUT_S)
+        return import_and_make_servers(*arguments)
+
+    monkeypatch.setattr("wheatroute.control.service.MAINTENANCE_INTERVAL_S", 0.01)
+    monkeypatch.setattr(control_main, "ControlService", RestoredService)
+    monkeypatch.setattr(control_main, "_import_and_make_servers", open_late)
+
+    def state():
+        (entry,), _ = services[0].state.registry.changes(RegistryVersion())
+        return entry.state
+
+    async def run():
+        async with asyncio.timeout(SCENARIO_TIMEOUT_S):
+            role = asyncio.create_task(control_main.serve(single, LOG))
+            while not services or not services[0].state.registry.live_instances():
+                await asyncio.sleep(0.01)
+            led_at = checks[-1]
+            while checks[-1] < led_at + 2 * REMOVED_HEARTBEATS * single.heartbeat_ms / 1000:
+                await asyncio.sleep(0.01)
+            assert state() == InstanceState.READY
+            may_listen.set()
+            while state() != InstanceState.REMOVED:
+                await asyncio.sleep(0.01)
+            os.kill(os.getpid(), signal.SIGTERM)
+            await role
+
+    asyncio.run(run())
+
+
 def test_the_role_stops_on_sigterm_and_reloads_its_seeds_on_sighup(tmp_path, monkeypatch, restored_signals):
     port = free_port()
     single = settings(
--- a/wheatroute/control/main.py
+++ b/wheatroute/control/main.py
@@ -55,12 +55,14 @@
         log.info("stopped")
         return
     service = ControlService(settings, log)
+    service.is_listening = False
     await service.start()
     settings_file = SettingsFile(settings, log)
     loop.add_signal_handler(signal.SIGHUP, lambda: service.apply_settings(settings_file.reload()))
     settings_watch = loop.create_task(_watch_settings(settings_file, service))
     servers = await asyncio.to_thread(_import_and_make_servers, settings, service, log)
     tasks = [loop.create_task(server.serve_listener()) for server in servers]
+    service.is_listening = True
     host, port = settings.address("control")
     log.info("listening", extra={"control": f"{host}:{port}"})
     await stop.wait()
--- a/wheatroute/control/registry.py
+++ b/wheatroute/control/registry.py
@@ -28,7 +28,7 @@
 SETTLING_HEARTBEATS = 3.0
 REMOVED_RETENTION_S = 120.0  # time for which a removed server is remembered
 # If more time passes between two checks for missed heartbeats, this process counts as stalled: heartbeats may
-# have arrived that it has not read.
+# have arrived that it has not read, so none counts as missed.
 STALL_THRESHOLD_S = 1.0
 DEFAULT_MAX_BYTES = 4 << 20  # memory of all instances
 INSTANCE_BYTES, TEXT_BYTES = 400, 56  # memory of an instance, and of each text, without the characters
@@ -234,14 +234,17 @@
             msgspec.structs.replace(entry.instance, state=InstanceState.UNRESPONSIVE)
         )
 
+    def restart_listening(self, now: float) -> None:
+        """Counts silence from now on only: until now, this process could not receive or read heartbeats."""
+        self._listening_since = now
+        for entry in self._entries.values():
+            entry.last_heartbeat = now
+
     def apply_missed_heartbeats(self, now: float) -> bool:
         """Updates servers that missed heartbeats; returns whether one became unresponsive or was removed."""
         is_stalled, self._last_check = now - self._last_check > STALL_THRESHOLD_S, now
         if is_stalled:
-            # Heartbeats may have arrived that this process did not read, so none counts as missed.
-            self._listening_since = now
-            for entry in self._entries.values():
-                entry.last_heartbeat = now
+            self.restart_listening(now)
             return False
         changed = False
         for identity, entry in list(self._entries.items()):
--- a/wheatroute/control/service.py
+++ b/wheatroute/control/service.py
@@ -38,6 +38,8 @@
     """Handles the requests of servers, operators and edge nodes to one control node."""
 
     def __init__(self, settings: Settings, log: logging.Logger) -> None:
+        # Whether servers can reach this node: a node may lead before it has opened its listeners.
+        self.is_listening = True
         self._log = log
         self.limit_log = LimitLog(log)
         self.memory = MemoryBudget(data_bytes(settings.limits), lambda: self.limit_log.record("memory"))
@@ -108,14 +110,21 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
-            if self.state.registry.apply_missed_heartbeats(loop.time()):
-                self._polls.notify_all()
+            self._apply_missed_heartbeats(loop.time())
             self._log_instance_events()
             if self.leadership.is_leading:
                 self.state.quotas.reserve(loop.time(), self.state.edge_nodes)
                 self._sharing.share_registry()
                 self._sharing.share_levels(loop.time())
 
+    def _apply_missed_heartbeats(self, now: float) -> None:
+        """Applies missed heartbeats; none is missed while this node's listeners are not open."""
+        registry = self.state.registry
+        if not self.is_listening:
+            registry.restart_listening(now)
+        elif registry.apply_missed_heartbeats(now):
+            self._polls.notify_all()
+
     def _log_instance_events(self) -> None:
         """Logs what happened to servers: which left or returned, and what told so."""
         for event in self.state.registry.take_events():
