Registry: edge nodes get the full registry again once missing servers count as removed

Cause: an edge node drops the servers that a full update doesn't name only if the primary is settled, and a new primary sends the full registry once, mostly before it is settled; later differences never name a server that this primary doesn't know. So an edge node that had missed a removal kept the server for good. Change: becoming settled is a change of the registry, and the oldest version from which a difference is complete; so is becoming settled again after a stall, and with it every way in which an edge node misses a removal that no primary remembers.

--- a/tests/control/test_server_registry.py
+++ b/tests/control/test_server_registry.py
@@ -129,6 +129,37 @@
     assert states(servers) == {"a": "gone"}
 
 
+# An edge node that had missed a removal kept the server for good once the primary had changed.
+def test_an_edge_node_gets_the_full_registry_again_once_missing_servers_count_as_removed():
+    servers = registry()
+    servers.heartbeat(0.0, "a", heartbeat(1))
+    _, is_full = servers.changes(RegistryVersion(1, 7))
+    known = servers.version
+    assert is_full and not servers.is_settled(0.1)
+    for now in range(1, 4):
+        servers.heartbeat(now, "a", heartbeat(now + 1))
+        servers.apply_missed_heartbeats(now - 0.5)
+        assert not servers.apply_missed_heartbeats(now)
+    assert servers.changes(known) == ((), False)
+    assert servers.apply_missed_heartbeats(3.2) and servers.is_settled(3.2)
+    instances, is_full = servers.changes(known)
+    assert [instance.id for instance in instances] == ["a"] and is_full
+    assert servers.changes(servers.version) == ((), False)
+
+
+# The same for a primary that was stalled for so long that it doesn't count the silence of servers.
+def test_an_edge_node_gets_the_full_registry_again_after_a_stall_of_the_primary():
+    servers = registry()
+    run(servers, 4.0)
+    known = servers.version
+    assert servers.changes(known) == ((), False)
+    servers.apply_missed_heartbeats(30.0)
+    run(servers, 32.5, begin=30.0)
+    assert servers.changes(known) == ((), False)
+    run(servers, 34.0, begin=32.5)
+    assert servers.changes(known) == ((), True)
+
+
 # After a restart of all nodes, servers whose next heartbeat came late stayed out of service for two minutes.
 @pytest.mark.parametrize("is_restored", (True, False))
 def test_a_server_that_was_removed_for_its_silence_returns_with_its_next_heartbeat(is_restored):
--- a/wheatroute/control/registry.py
+++ b/wheatroute/control/registry.py
@@ -110,7 +110,10 @@
         self._heartbeat_s = heartbeat_s
         self._entries: dict[str, _Entry] = {}
         self._change_count = 0
-        self._newest_pruned_change = 0  # highest `Instance.changed` of the instances forgotten so far
+        # Lowest version from which a difference is complete. A node with an older one gets the full registry:
+        # since then an instance was forgotten, or missing ones began to count as removed.
+        self._oldest_difference_base = 0
+        self._was_settled = False  # whether this primary was settled at the last check for missed heartbeats
         self._listening_since = now
         self._last_check = now
         self._events: list[InstanceEvent] = []
@@ -237,21 +240,22 @@
     def restart_listening(self, now: float) -> None:
         """Counts silence from now on only: until now, this process could not receive or read heartbeats."""
         self._listening_since = now
+        self._was_settled = False
         for entry in self._entries.values():
             entry.last_heartbeat = now
 
     def apply_missed_heartbeats(self, now: float) -> bool:
-        """Updates servers that missed heartbeats; returns whether one became unresponsive or was removed."""
+        """Updates servers that missed heartbeats; returns whether edge nodes must be told of a change."""
         is_stalled, self._last_check = now - self._last_check > STALL_THRESHOLD_S, now
         if is_stalled:
             self.restart_listening(now)
             return False
-        changed = False
+        changed = self._note_settled(now)
         for identity, entry in list(self._entries.items()):
             missed = (now - entry.last_heartbeat) / self._heartbeat_s
             if entry.instance.state == InstanceState.REMOVED:
                 if now - entry.last_heartbeat > REMOVED_RETENTION_S:
-                    self._newest_pruned_change = max(self._newest_pruned_change, entry.instance.changed)
+                    self._oldest_difference_base = max(self._oldest_difference_base, entry.instance.changed)
                     self._held_bytes -= _memory(entry.instance)
                     del self._entries[identity]
             elif missed > (SETTLING_HEARTBEATS if entry.is_unconfirmed else REMOVED_HEARTBEATS):
@@ -263,16 +267,29 @@
                 )
         return changed
 
+    def _note_settled(self, now: float) -> bool:
+        """Returns whether this primary became settled; from then on every edge node gets the full registry.
+
+        An edge node drops the servers that are missing from a full registry only if the primary is settled.
+        One that got the full registry before would keep them, as later differences don't name them.
+        """
+        if self._was_settled or not self.is_settled(now):
+            return False
+        self._was_settled = True
+        self._change_count += 1
+        self._oldest_difference_base = self._change_count
+        return True
+
     def changes(self, since: RegistryVersion) -> tuple[tuple[Instance, ...], bool]:
         """Returns the instances that changed since a version, and whether they are the full registry.
 
-        The full registry is returned if the version is of another epoch, is above the present one, or is
-        older than the last change of a forgotten instance.
+        The full registry is returned if the version is of another epoch, is above the present one, or is too
+        old for a complete difference.
         """
         instances = [entry.instance for entry in self._entries.values()]
         if (
             since.epoch != self._epoch
-            or since.number < self._newest_pruned_change
+            or since.number < self._oldest_difference_base
             or since.number > self._change_count
         ):
             return tuple(instances), True
