Control: what servers said of their end outlives the primary that heard it

Cause: primaries shared the servers that they had, not those that had left. The next one took the late heartbeat for that of a new server, and its first full update couldn't name the departure. Change: the soft state has the departures (id and age), which the next primary restores: it ignores the heartbeats of these servers and names them to edge nodes. They are shared before the departure is acknowledged, as the registry is, and kept for REMOVED_RETENTION_S from the departure, however often primaries change. A new key, left out where there is none: bytes of earlier versions are the same.

--- a/tests/control/test_control_format.py
+++ b/tests/control/test_control_format.py
@@ -224,6 +224,11 @@
         ),
         id="soft-state-of-levels",
     ),
+    pytest.param(
+        make_soft_state(INSTANCES[:0], {}, 3, {"s4": 1.5}),
+        "85a9696e7374616e63657390a76275636b65747380a665787472617380a5656467657303a8646570617274656481a27334cb3ff8000000000000",
+        id="soft-state-with-departures",
+    ),
     pytest.param(
         BucketLevels(400.0, 20.0),
         "82a56c696d6974cb4079000000000000a56578747261cb4034000000000000",
--- a/tests/control/test_control_nodes.py
+++ b/tests/control/test_control_nodes.py
@@ -216,6 +216,30 @@
     assert states == {"i-1": "ready", "i-2": "draining"}
 
 
+# A late heartbeat put a server back into service that had deregistered, at a primary that didn't know it.
+@with_nodes
+async def test_a_departure_outlives_two_primaries(nodes):
+    first, service = await nodes.primary()
+    await service.change(first_change())
+    heartbeat = ServerHeartbeat(backend="s", addr="10.0.0.9:80", zone="z", slots=4, seq=1)
+    await service.heartbeat("i-1", heartbeat)
+    await nodes.wait_until_synced(first)
+    await service.deregister("i-1")
+    await nodes.kill(first)
+    second, service = await nodes.primary(excluding=first)
+    await service.heartbeat("i-1", heartbeat)
+    assert not service.state.registry.live_instances()
+    await nodes.start(first, bootstrap=False)
+    await nodes.wait_until_synced(second)
+    # Once a departure is acknowledged, all members also have the departures before it.
+    await service.deregister("i-2")
+    await nodes.kill(second)
+    _, service = await nodes.primary(excluding=second)
+    for identity in ("i-1", "i-2"):
+        await service.heartbeat(identity, heartbeat)
+    assert not service.state.registry.live_instances()
+
+
 @with_nodes
 async def test_a_drain_is_acknowledged_although_its_soft_state_is_lost_once_on_each_link(nodes):
     _, service = await nodes.primary()
--- a/wheatroute/control/primary_state.py
+++ b/wheatroute/control/primary_state.py
@@ -81,6 +81,7 @@
     def restore(self, now: float, soft_state: SoftState) -> None:
         """Restores the servers and the number of edge nodes that the previous primary shared."""
         self.registry.restore(now, soft_state.instances)
+        self.registry.restore_departures(now, soft_state.departure_ages())
         self.edge_nodes = EdgeNodes(now, soft_state.edge_node_count)
         self.quotas.begin_term(now, soft_state.edge_node_count, self._settings.bounds.quota_window_s)
 
--- a/wheatroute/control/registry.py
+++ b/wheatroute/control/registry.py
@@ -1,8 +1,9 @@
 """The registry of servers, maintained from their heartbeats. A state machine without I/O.
 
-Only the primary keeps it; a new primary starts from the instances that the previous one shared, if it has
-received them, and rebuilds the rest from heartbeats. Until a primary has listened for `SETTLING_HEARTBEATS`
-heartbeat intervals, a server from which it has received no heartbeat counts as unknown, not as removed.
+Only the primary keeps it; a new primary starts from the instances and the departures that the previous one
+shared, if it has received them, and rebuilds the rest from heartbeats. Until a primary has listened for
+`SETTLING_HEARTBEATS` heartbeat intervals, a server from which it has received no heartbeat counts as unknown,
+not as removed.
 
 States of an instance: READY -> UNRESPONSIVE, by missed heartbeats or suspicion; READY or UNRESPONSIVE ->
 DRAINING, by the server's word; any of the three -> REMOVED, by its DELETE or by its silence. What a server
@@ -156,6 +157,29 @@
             if entry.instance.state != InstanceState.REMOVED
         )
 
+    def restore_departures(self, now: float, ages_s: dict[str, float]) -> None:
+        """Restores the servers whose departure the previous primary shared; no heartbeat brings them back.
+
+        `ages_s` are the seconds since each departure, by server.
+        """
+        for identity, age_s in ages_s.items():
+            self._add_departure(now - age_s, _departed_instance(identity))
+
+    def departure_ages(self, now: float) -> dict[str, float]:
+        """The seconds since the departure of each server that announced its end and is removed, by its id."""
+        return {
+            identity: now - entry.last_heartbeat
+            for identity, entry in self._entries.items()
+            if entry.has_departed and entry.instance.state == InstanceState.REMOVED
+        }
+
+    def _add_departure(self, now: float, removed: Instance) -> None:
+        """Records a server of which nothing is known but that it departed at `now`."""
+        entry = _Entry(self._with_new_version(removed), 0, now)
+        entry.has_departed = True
+        self._entries[removed.id] = entry
+        self._held_bytes += _memory(removed)
+
     def heartbeat(self, now: float, identity: str, heartbeat: ServerHeartbeat) -> bool:
         """Applies a heartbeat; returns whether it changed anything that edge nodes must know.
 
@@ -198,9 +222,13 @@
 
     def _reserve(self, growth_bytes: int) -> None:
         """Counts the memory of an instance; raises RegistryFullError if there is no room for it."""
+        self._require_room(growth_bytes)
+        self._held_bytes += growth_bytes
+
+    def _require_room(self, growth_bytes: int) -> None:
+        """Raises RegistryFullError if there is no room for so much more memory."""
         if growth_bytes > 0 and self._held_bytes + growth_bytes > self._max_bytes:
             raise RegistryFullError("there is no memory for more servers")
-        self._held_bytes += growth_bytes
 
     def remove(self, now: float, identity: str) -> bool:
         """Removes a server that deregisters; returns False if it had been removed before.
@@ -210,12 +238,9 @@
         """
         entry = self._entries.get(identity)
         if entry is None:
-            removed = Instance(
-                id=identity, service="", address="", zone="", slots=0, state=InstanceState.REMOVED, changed=0
-            )
-            self._reserve(_memory(removed))
-            entry = self._entries[identity] = _Entry(self._with_new_version(removed), 0, now)
-            entry.has_departed = True
+            removed = _departed_instance(identity)
+            self._require_room(_memory(removed))
+            self._add_departure(now, removed)
             self._record_event(None, removed, InstanceCause.DEREGISTERED)
             return True
         entry.has_departed = True
@@ -323,6 +348,13 @@
         return True
 
 
+def _departed_instance(identity: str) -> Instance:
+    """A removed server of which only the id is known."""
+    return Instance(
+        id=identity, service="", address="", zone="", slots=0, state=InstanceState.REMOVED, changed=0
+    )
+
+
 def _memory(instance: Instance) -> int:
     """Approximate memory of an instance with the texts that its server has chosen."""
     texts = (instance.id, instance.service, instance.address, instance.zone, *instance.models)
--- a/wheatroute/control/soft_state.py
+++ b/wheatroute/control/soft_state.py
@@ -13,12 +13,18 @@
 
 
 class SoftState(msgspec.Struct, frozen=True):
-    """The initial state of the next primary: servers, bucket levels and the number of edge nodes."""
+    """The initial state of the next primary: servers, departures, bucket levels, the number of edge nodes."""
 
     instances: tuple[Instance, ...]
     limit_levels: dict[str, float] = msgspec.field(name="buckets")  # tokens, by tenant
     excess_levels: dict[str, float] = msgspec.field(name="extras", default_factory=dict)
     edge_node_count: int = msgspec.field(name="edges", default=0)
+    # seconds since the departure of each server that announced its end and is removed, by its id
+    departures: dict[str, float] | msgspec.UnsetType = msgspec.field(name="departed", default=msgspec.UNSET)
+
+    def departure_ages(self) -> dict[str, float]:
+        """The seconds since each departure, by server; none from earlier program versions."""
+        return {} if self.departures is msgspec.UNSET else self.departures
 
     def levels(self) -> dict[str, BucketLevels]:
         """The levels of all buckets, by tenant."""
@@ -29,12 +35,19 @@
 
 
 def make_soft_state(
-    instances: tuple[Instance, ...], levels: dict[str, BucketLevels], edge_node_count: int
+    instances: tuple[Instance, ...],
+    levels: dict[str, BucketLevels],
+    edge_node_count: int,
+    departure_ages: dict[str, float] | None = None,
 ) -> SoftState:
-    """Builds the soft state; `levels` are the levels of both buckets of each tenant, by name."""
+    """Builds the soft state.
+
+    `levels` are the levels of both buckets of each tenant, by name; `departure_ages` are the seconds since
+    each departure, by server.
+    """
     limits = {tenant: level.limit for tenant, level in levels.items()}
     excesses = {tenant: level.excess for tenant, level in levels.items()}
-    return SoftState(instances, limits, excesses, edge_node_count)
+    return SoftState(instances, limits, excesses, edge_node_count, departure_ages or msgspec.UNSET)
 
 
 def decode_soft_state(payload: bytes) -> SoftState:
--- a/wheatroute/control/soft_state_sharing.py
+++ b/wheatroute/control/soft_state_sharing.py
@@ -103,8 +103,12 @@
         return self._shared_soft_state_version
 
     def _encoded_soft_state(self) -> bytes:
+        registry = self._state.registry
         soft_state = make_soft_state(
-            self._state.registry.live_instances(), self._state.quotas.levels(), self._shared_edge_node_count
+            registry.live_instances(),
+            self._state.quotas.levels(),
+            self._shared_edge_node_count,
+            registry.departure_ages(self._shared_at),
         )
         return msgspec.msgpack.encode(soft_state)
 
@@ -123,7 +127,11 @@
         self._state.restore(now, soft_state)
         self._log.info(
             "registry-restored",
-            extra={"epoch": self._leadership.epoch, "servers": [one.id for one in soft_state.instances]},
+            extra={
+                "epoch": self._leadership.epoch,
+                "servers": [one.id for one in soft_state.instances],
+                "departed": list(soft_state.departure_ages()),
+            },
         )
         levels = decode_levels(self._replicator.bucket_levels) or soft_state.levels()
         self._state.restore_levels(levels, now - self._replicator.bucket_levels_at)
