Replication: soft state is acknowledged once it is on disk, by all who may lead next

Cause: members acknowledged the registry from memory and wrote it to disk in the background, so that what outlives a primary did not outlive all processes; members of a proposed view, one of which may lead next, weren't asked; and of several departures at once only the last to wait was woken by the acknowledgements, the others were refused after 0.5 s. Change: SoftStateWriter writes the newest soft state, one write at a time, and the acknowledgement follows it, the primary's own disk included. A write that fails or stalls has the record written again, so that the node becomes unhealthy and leaves the view as for documents. wait_for_acks asks the members of proposed views too, and wakes all who wait.

--- a/wheatroute/replication/core.py
+++ b/wheatroute/replication/core.py
@@ -110,6 +110,11 @@
         hosts = self._leader.all_hosts() if self.is_leading else self._state.all_hosts()
         return tuple(sorted(hosts))
 
+    @property
+    def possible_members(self) -> frozenset[str]:
+        """The members of the views that this node has proposed or is about to: one of them may be decided."""
+        return self._proposer.possible_members
+
     @property
     def is_leading(self) -> bool:
         """Whether this process leads the newest view known here."""
--- a/wheatroute/replication/replicator.py
+++ b/wheatroute/replication/replicator.py
@@ -24,6 +24,7 @@
 from wheatroute.replication.records import AcceptorRecord, Document, NodeRecord, new_record
 from wheatroute.replication.soft_state import SoftStateVersion
 from wheatroute.replication.soft_state_replication import SoftStateReplication
+from wheatroute.replication.soft_state_writer import SoftStateWriter
 from wheatroute.replication.storage import LmdbStorage, MemoryStorage, Storage, StorageError
 from wheatroute.replication.views import NO_VIEW, genesis_view
 
@@ -103,7 +104,8 @@
             self._log,
             self._incoming_limits,
         )
-        self._soft_state = SoftStateReplication(self.core, soft_state, self._send, self._write_soft_state)
+        writer = SoftStateWriter(self._write_soft_state, self._check_disk)
+        self._soft_state = SoftStateReplication(self.core, soft_state, self._send, writer.request)
         await self._links.listen()
         log_events.started(self._log, record, is_fresh=stored is None)
         loop.create_task(self._run_ticks())
@@ -201,14 +203,24 @@
         self._soft_state.publish_bucket_levels(payload)
 
     async def wait_for_soft_state_acks(self, version: SoftStateVersion, timeout_s: float) -> bool:
-        """Waits until every member of the view has acknowledged this soft state.
+        """Waits until this soft state is on the disk of every node that may lead next.
 
-        One of the members leads next and starts from it. Returns False if the wait exceeds `timeout_s`.
+        That node starts from it. Returns False if the wait exceeds `timeout_s`.
         """
         return await self._soft_state.wait_for_acks(version, timeout_s)
 
-    def _write_soft_state(self, payload: bytes) -> None:
-        self._executor.submit(self._storage.write_soft_state, payload)
+    async def _write_soft_state(self, payload: bytes) -> None:
+        """Writes soft state; logs and raises StorageError if the disk rejects it."""
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.run_in_executor(self._executor, self._storage.write_soft_state, payload)
+        except StorageError as error:
+            log_events.write_failed(self._log, error)
+            raise
+
+    def _check_disk(self) -> None:
+        """Writes the record after trouble with soft state, so that a bad disk makes this node unhealthy."""
+        self._carry_out(self.core.rewrite_record(asyncio.get_running_loop().time()))
 
     # tasks
 
--- a/wheatroute/replication/soft_state_replication.py
+++ b/wheatroute/replication/soft_state_replication.py
@@ -1,8 +1,9 @@
 """Replication of the leader's soft state and bucket levels to every control node, on asyncio.
 
-The newest soft state is kept in memory, and written to disk in the background. Bucket levels are kept in
-memory only; they are newer than the soft state before them. Messages may be lost: soft state is sent again
-until every member of the view has acknowledged it, while lost bucket levels are replaced by the next ones.
+The newest soft state is kept in memory and on disk; a node acknowledges it once it is on disk, so that what
+is acknowledged outlives all processes. Bucket levels are kept in memory only; they are newer than the soft
+state before them. Messages may be lost: soft state is sent again until every member of the view has
+acknowledged it, while lost bucket levels are replaced by the next ones.
 """
 
 from __future__ import annotations
@@ -15,7 +16,8 @@
 from wheatroute.replication.effects import Send
 from wheatroute.replication.identity import host_of
 from wheatroute.replication.messages import BucketLevelsUpdate, Message, SoftStateAck, SoftStateUpdate
-from wheatroute.replication.soft_state import ReplicatedSoftState, SoftStateVersion
+from wheatroute.replication.record_writer import Action
+from wheatroute.replication.soft_state import NO_SOFT_STATE, ReplicatedSoftState, SoftStateVersion
 
 SendMessage = Callable[[str, Message], None]
 
@@ -24,7 +26,7 @@
     """Keeps the newest soft state on one node; on the leader, sends it to the other nodes.
 
     `payload` is the soft state read from disk; `send` takes a host and a message; `write` starts writing a
-    payload to disk and returns at once.
+    payload to disk, returns at once, and runs an action once that payload or a later one is on disk.
     """
 
     def __init__(
@@ -32,12 +34,13 @@
         core: ReplicationCore,
         payload: bytes,
         send: SendMessage,
-        write: Callable[[bytes], None],
+        write: Callable[[bytes, Action], None],
     ) -> None:
         self._core = core
         self._send = send
         self._write = write
         self._replicated = ReplicatedSoftState(core.identity)
+        self._version_on_disk = NO_SOFT_STATE  # the newest version that this process has written
         self._changed = asyncio.Event()
         self.payload = payload
         self.bucket_levels = b""  # the newest bucket levels received after `payload`; empty if there are none
@@ -49,8 +52,8 @@
     def publish(self, payload: bytes) -> SoftStateVersion:
         """Sends this leader's soft state to all others; returns its version for `wait_for_acks`."""
         now, core = asyncio.get_running_loop().time(), self._core
-        self._store(payload)
         self._send_all(self._replicated.publish(now, core.view.epoch, payload, core.hosts))
+        self._store(payload, lambda: None)
         return self._replicated.version
 
     def publish_bucket_levels(self, payload: bytes) -> None:
@@ -68,32 +71,41 @@
         self._send_all(self._replicated.resend(now, view.epoch, view.members))
 
     async def wait_for_acks(self, version: SoftStateVersion, timeout_s: float) -> bool:
-        """Waits until every member of the view has acknowledged this version, since one of them leads next.
+        """Waits until this version is on the disk of every node that may lead next.
 
-        Returns False if that takes longer than `timeout_s`.
+        These are the members of the view, and those of the views that this leader has proposed or is about
+        to propose: one of them may be decided. Returns False if that takes longer than `timeout_s`.
         """
         try:
             async with asyncio.timeout(timeout_s):
-                while self._replicated.missing_acks(self._core.view.members, version):
-                    self._changed = asyncio.Event()
+                while not self._is_on_all_disks(version):
                     await self._changed.wait()
                 return True
         except TimeoutError:
             return False
 
+    def _is_on_all_disks(self, version: SoftStateVersion) -> bool:
+        holders = {*self._core.view.members, *self._core.possible_members}
+        return self._version_on_disk >= version and not self._replicated.missing_acks(holders, version)
+
     def on_view_changed(self) -> None:
         """Wakes `wait_for_acks`, since a member whose acknowledgement is missing may have left the view."""
-        self._changed.set()
+        self._notify_waiting()
 
     # messages
 
     def on_update(self, sender: str, update: SoftStateUpdate) -> None:
-        """Stores and acknowledges the soft state of a leader, unless this node knows a later epoch."""
+        """Stores a leader's soft state unless a later epoch is known; acknowledges it once it is on disk."""
         if update.epoch < self._core.view.epoch:
             return
+
+        def acknowledge() -> None:
+            self._send(host_of(sender), SoftStateAck(update.epoch, update.number))
+
         if self._replicated.receive(update):
-            self._store(update.payload)
-        self._send(host_of(sender), SoftStateAck(update.epoch, update.number))
+            self._store(update.payload, acknowledge)
+        elif self._version_on_disk >= (update.epoch, update.number):
+            acknowledge()
 
     def on_bucket_levels(self, update: BucketLevelsUpdate) -> None:
         """Stores the levels of a leader's token buckets, unless this node knows a later epoch."""
@@ -103,12 +115,24 @@
     def on_ack(self, sender: str, ack: SoftStateAck) -> None:
         """Records an acknowledgement, and wakes `wait_for_acks`."""
         self._replicated.on_ack(sender, ack)
-        self._changed.set()
+        self._notify_waiting()
 
-    def _store(self, payload: bytes) -> None:
+    def _notify_waiting(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    def _store(self, payload: bytes, then: Action) -> None:
+        """Keeps the soft state of the newest version; `then` runs once it is on disk."""
+        version = self._replicated.version
         self.payload = payload
         self._store_bucket_levels(b"")
-        self._write(payload)
+
+        def written() -> None:
+            self._version_on_disk = max(self._version_on_disk, version)
+            self._notify_waiting()
+            then()
+
+        self._write(payload, written)
 
     def _store_bucket_levels(self, payload: bytes) -> None:
         self.bucket_levels, self.bucket_levels_at = payload, asyncio.get_running_loop().time()
--- a/wheatroute/replication/storage.py
+++ b/wheatroute/replication/storage.py
@@ -51,7 +51,7 @@
         """Returns the soft state written last, or an empty value."""
 
     def write_soft_state(self, payload: bytes) -> None:
-        """Writes soft state; ignores a failure, since soft state may be lost without harm."""
+        """Writes and syncs soft state; if that raises StorageError, the old one stays valid."""
 
     def close(self) -> None:
         """Closes the file."""
@@ -129,14 +129,15 @@
             return b""
 
     def write_soft_state(self, payload: bytes) -> None:
-        """Writes soft state; ignores a failure, since soft state may be lost without harm."""
+        """Writes and syncs soft state; if that raises StorageError, the old one stays valid."""
         try:
             with self._open().begin(write=True) as transaction:
                 transaction.put(_SOFT_STATE, _with_checksum(payload))
             self._open().sync(True)
-        except (lmdb.Error, OSError):
+        except (lmdb.Error, OSError) as error:
             self._written = {}
             self.close()
+            raise StorageError(str(error)) from error
 
     def close(self) -> None:
         """Closes the file."""
