Replication: a node becomes a member only with the soft state that members acknowledged

Cause: a node joined the view once it had the newest document; soft state reached it by a message that may be lost, 0.2 s after the view was decided at the latest, and was sent again to members only. Change: the primary lets a node join once it has acknowledged the first soft state of this primary and the newest one that all members have; it resends soft state to nodes that may join, and shares it as soon as a view begins.

--- a/tests/control/test_kept_departures.py
+++ b/tests/control/test_kept_departures.py
@@ -12,6 +12,7 @@
 from wheatroute.cluster.errors import RequestError
 from wheatroute.control.changes import Change
 from wheatroute.control.registry import ServerHeartbeat
+from wheatroute.replication.messages import SoftStateUpdate
 from wheatroute.replication.storage import StorageError
 
 SLOW_WRITE_S = 0.15
@@ -93,6 +94,40 @@
     run_scenario(1, departure_while_a_disk_rejects_writes)
 
 
+async def departure_while_a_node_is_down(cluster):
+    """A node misses a departure, returns, and would lead next before it has been told of it."""
+    primary = await primary_with_servers(cluster, ["i-1"])
+    returning, other = (node for node in cluster.nodes.values() if node is not primary)
+    returning.kill()
+    core = primary.service.replicator.core
+    while len(core.view.members) > 2:
+        await asyncio.sleep(0.01)
+    await primary.request(lambda service: service.deregister("i-1"))
+    links = cluster.links[primary.host]
+    send = links.send
+
+    def without_soft_state(host, message):
+        if host != returning.host or not isinstance(message, SoftStateUpdate):
+            send(host, message)
+
+    links.send = without_soft_state
+    await returning.start()
+    while returning.service.replicator.core.document.version < core.document.version:
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(1.0)
+    assert returning.service.replicator.core.identity not in core.view.members
+    links.send = send
+    while len(core.view.members) < 3:
+        await asyncio.sleep(0.01)
+    primary.kill()
+    assert await late_heartbeats(cluster, ["i-1"], excluding=(primary.host,)) == {}
+
+
+# A node that returned became a member, and could lead, with the servers that it had known before.
+def test_a_node_that_missed_a_departure_may_lead_only_once_it_knows_of_it():
+    run_scenario(1, departure_while_a_node_is_down)
+
+
 async def many_departures_at_once(cluster):
     identities = [f"i-{number}" for number in range(8)]
     primary = await primary_with_servers(cluster, identities)
--- a/wheatroute/control/service.py
+++ b/wheatroute/control/service.py
@@ -103,6 +103,8 @@
             self.state.begin_term(now, self.leadership.epoch, self.configuration.tenants)
             self._sharing.restore(now)
         self._sharing.invalidate()
+        if self.leadership.is_leading:
+            self._sharing.share_registry()
         self._polls.notify_all()
 
     async def _run_maintenance(self) -> None:
--- a/wheatroute/replication/core.py
+++ b/wheatroute/replication/core.py
@@ -22,6 +22,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 
 from wheatroute.replication import timing
@@ -115,6 +116,14 @@
         """The members of the views that this node has proposed or is about to: one of them may be decided."""
         return self._proposer.possible_members
 
+    def replicas(self, now: float) -> tuple[str, ...]:
+        """The other nodes that are able to replicate documents, as known to this leader."""
+        return self._leader.replicas(now)
+
+    def require_soft_state(self, lacks_soft_state: Callable[[str], bool]) -> None:
+        """Keeps nodes out of this leader's next views for which `lacks_soft_state(identity)` is true."""
+        self._state.lacks_soft_state = lacks_soft_state
+
     @property
     def is_leading(self) -> bool:
         """Whether this process leads the newest view known here."""
--- a/wheatroute/replication/core_state.py
+++ b/wheatroute/replication/core_state.py
@@ -62,6 +62,8 @@
         self.tolerate = tolerate
         self.rng = rng
         self.now = now
+        # whether a node has yet to acknowledge soft state that the members of this leader's view have
+        self.lacks_soft_state: Callable[[str], bool] = lambda identity: False
         self._hosts = set(seed_hosts)
         self._deliver = deliver
         self._digest_cache = (record.document, record.document.digest)
--- a/wheatroute/replication/leader.py
+++ b/wheatroute/replication/leader.py
@@ -55,6 +55,10 @@
         """The newest document that this node committed as a leader."""
         return self._documents.committed
 
+    def replicas(self, now: float) -> tuple[str, ...]:
+        """The other nodes that are able to replicate documents, members or not."""
+        return tuple(peer.identity for peer in self._peers.all() if peer.can_replicate(now))
+
     def is_serving(self, now: float) -> bool:
         """Whether this node leads, has a committed document and has a lease."""
         return self._state.is_leading and self.committed is not None and self.has_lease(now)
@@ -210,7 +214,13 @@
         state = self._state
         newest = self.committed if self.committed is not None else state.document
         return next_view(
-            state.view, self._own_peer(), self._peers.all(), newest.version, state.tolerate, state.now
+            state.view,
+            self._own_peer(),
+            self._peers.all(),
+            newest.version,
+            state.tolerate,
+            state.now,
+            state.lacks_soft_state,
         )
 
     def _renewed_view(self) -> View | None:
--- a/wheatroute/replication/reconfiguration.py
+++ b/wheatroute/replication/reconfiguration.py
@@ -1,11 +1,14 @@
 """Computes the view that a leader wants next: its members, its voters and its primary. No I/O.
 
-Invariants: a node becomes a member or a voter only when it is in sync; the members are never reduced to fewer
+Invariants: a node becomes a member or a voter only when it is in sync, and a member only when it has the soft
+state that the members have acknowledged, since it may lead next; the members are never reduced to fewer
 than `tolerate + 1`; a voter is replaced by another node, never dropped.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from wheatroute.replication.identity import host_of
 from wheatroute.replication.peers import VOTER_LOST_TIMEOUT_S, Peer
 from wheatroute.replication.records import DocumentVersion
@@ -19,14 +22,22 @@
     version: DocumentVersion,
     tolerate: int,
     now: float,
+    lacks_soft_state: Callable[[str], bool] = lambda identity: False,
 ) -> View | None:
     """Returns the view that this leader should propose, or None if the current one needs no change.
 
     `version` is that of the newest acknowledged document. A node that has it is in sync: no later document is
-    acknowledged before the members that this leader proposes have it.
+    acknowledged before the members that this leader proposes have it. `lacks_soft_state` tells whether a node
+    has yet to acknowledge soft state that the members have; it joins them only after that.
     """
     nodes = {peer.identity: peer for peer in [own, *peers]}
-    synced = [node.identity for node in nodes.values() if node.can_replicate(now) and node.version >= version]
+    synced = [
+        node.identity
+        for node in nodes.values()
+        if node.can_replicate(now)
+        and node.version >= version
+        and (node.identity in view.members or not lacks_soft_state(node.identity))
+    ]
     voters = _voters(view, nodes, synced, tolerate, now)
     members = _members(view, nodes, synced, voters, tolerate, now)
     primary = _primary(own, synced, members)
--- a/wheatroute/replication/soft_state_replication.py
+++ b/wheatroute/replication/soft_state_replication.py
@@ -41,6 +41,10 @@
         self._write = write
         self._replicated = ReplicatedSoftState(core.identity)
         self._version_on_disk = NO_SOFT_STATE  # the newest version that this process has written
+        # On the leader, the oldest version that a node needs before it may become a member: the first one of
+        # this leader, or the newest one that all members are known to have.
+        self._required_version: SoftStateVersion | None = None
+        core.require_soft_state(self._is_lacking)
         self._changed = asyncio.Event()
         self.payload = payload
         self.bucket_levels = b""  # the newest bucket levels received after `payload`; empty if there are none
@@ -53,6 +57,8 @@
         """Sends this leader's soft state to all others; returns its version for `wait_for_acks`."""
         now, core = asyncio.get_running_loop().time(), self._core
         self._send_all(self._replicated.publish(now, core.view.epoch, payload, core.hosts))
+        if self._required_version is None:
+            self._required_version = self._replicated.version
         self._store(payload, lambda: None)
         return self._replicated.version
 
@@ -65,10 +71,11 @@
                 self._send(host, BucketLevelsUpdate(core.view.epoch, payload))
 
     def resend(self) -> None:
-        """Sends the newest soft state again to members that have not acknowledged it."""
+        """Sends the newest soft state again to members, present and future, that have not acknowledged it."""
         view = self._core.view
         now = asyncio.get_running_loop().time()
-        self._send_all(self._replicated.resend(now, view.epoch, view.members))
+        receivers = dict.fromkeys((*view.members, *self._core.replicas(now)))
+        self._send_all(self._replicated.resend(now, view.epoch, receivers))
 
     async def wait_for_acks(self, version: SoftStateVersion, timeout_s: float) -> bool:
         """Waits until this version is on the disk of every node that may lead next.
@@ -80,6 +87,7 @@
             async with asyncio.timeout(timeout_s):
                 while not self._is_on_all_disks(version):
                     await self._changed.wait()
+                self._required_version = max(self._required_version or version, version)
                 return True
         except TimeoutError:
             return False
@@ -88,8 +96,15 @@
         holders = {*self._core.view.members, *self._core.possible_members}
         return self._version_on_disk >= version and not self._replicated.missing_acks(holders, version)
 
+    def _is_lacking(self, identity: str) -> bool:
+        """Whether a node has yet to acknowledge the soft state that it needs before it may lead next."""
+        required = self._required_version
+        return required is None or bool(self._replicated.missing_acks([identity], required))
+
     def on_view_changed(self) -> None:
         """Wakes `wait_for_acks`, since a member whose acknowledgement is missing may have left the view."""
+        if not self._core.is_leading:
+            self._required_version = None
         self._notify_waiting()
 
     # messages
