Connections: a response to HEAD goes without its body

Cause: an error response has a body, which h11 doesn't allow for HEAD; the LocalProtocolError ended the connection. Change: Connection.send leaves the body of a response out if the request that is being read is HEAD (RFC 9110, 9.3.2), for edge nodes and for the platform's node alike.

--- a/tests/edge/test_client_connections.py
+++ b/tests/edge/test_client_connections.py
@@ -8,6 +8,7 @@
     ScriptedServer,
     chunk,
     never_respond,
+    read_all,
     request,
     respond,
     running_edge,
@@ -102,3 +103,38 @@
         await until(lambda: edge.clients._clients)
         edge.clients.close_idle()
         assert await idle.receive_some(10) == b""
+
+
+def head_request(path, identity):
+    return request(path, close=False, identity=identity).replace(b"POST ", b"HEAD ", 1)
+
+
+# An error response to HEAD failed inside the node, which closed the connection without an answer.
+@scenario
+async def test_an_error_response_to_head_has_no_body_and_keeps_the_connection():
+    rejected = respond(b"", status="503 Service Unavailable", headers=("Not-Executed: 1",))
+    server = ScriptedServer("i-1", rejected)
+    async with running_edge(server) as edge:
+        client = await trio.open_tcp_stream("127.0.0.1", edge.port)
+        received = b""
+        for path, identity, expected in (
+            ("/plain/1", "r1", 503),
+            ("/none/1", "r2", 404),
+            ("/plain/2", "r3", 200),
+        ):
+            await client.send_all(head_request(path, identity))
+            received = b""
+            while b"\r\n\r\n" not in received:
+                received += await client.receive_some(65536)
+            assert status(received) == expected and received.endswith(b"\r\n\r\n")
+        # The next request isn't taken for HEAD: its error response has its body.
+        await client.send_all(request("/none/2", identity="r4"))
+        assert (await read_all(client)).endswith(b"no-route\n")
+
+
+@scenario
+async def test_an_error_response_to_an_incomplete_head_request_has_no_body():
+    message = head_request("/plain/1", "r1").replace(b"Content-Length: 0", b"Content-Length: 99999999")
+    async with running_edge(ScriptedServer("i-1")) as edge:
+        received = await edge.exchange(message)
+    assert status(received) == 413 and received.endswith(b"\r\n\r\n")
--- a/tests/net/test_downstream.py
+++ b/tests/net/test_downstream.py
@@ -48,6 +48,18 @@
         assert await client.response() is None
 
 
+# A response with a body to HEAD failed inside the node, which left the request unanswered.
+@scenario
+async def test_a_response_to_head_has_no_body(start):
+    node = await start(Server())
+    stream = await trio.open_tcp_stream("127.0.0.1", node.port)
+    await stream.send_all(b"HEAD /else/1 HTTP/1.1\r\nHost: b\r\nRequest-Id: h1\r\n\r\n")
+    with trio.fail_after(5.0):
+        received = await stream.receive_some(65536)
+    await stream.aclose()
+    assert received.startswith(b"HTTP/1.1 404 ") and received.endswith(b"\r\n\r\n")
+
+
 @scenario
 async def test_a_client_that_leaves_during_its_100_continue_ends_nothing_else(start):
     server = Server()
--- a/wheatroute/net/connection.py
+++ b/wheatroute/net/connection.py
@@ -59,6 +59,7 @@
         "_body",
         "_part_count",
         "_unsent",
+        "_is_head_request",
     )
 
     def __init__(self, sock: socket.socket, role: type, peer: str) -> None:
@@ -75,6 +76,7 @@
         self._body = bytearray()  # body of the message that is being read
         self._part_count = 0  # number of parts in which the body has arrived
         self._unsent = NOTHING_UNSENT  # rest of the message that is being sent
+        self._is_head_request = False  # whether the message that is being read is a HEAD request
 
     async def receive(self) -> bool:
         """Waits for data and passes it to the parser; returns False once the peer has closed its side."""
@@ -111,6 +113,7 @@
                 return True
             elif isinstance(event, h11.Request | h11.Response):
                 self.head, self._body, self._part_count = event, bytearray(), 0
+                self._is_head_request = isinstance(event, h11.Request) and event.method == b"HEAD"
                 self._check_length(event.headers)
             elif not isinstance(event, h11.InformationalResponse):
                 raise PeerClosedError
@@ -163,11 +166,12 @@
         """Starts to write a message, without blocking; returns whether it was completely written.
 
         From now on `is_written` tells whether the last byte of this message was written. The remainder is
-        written by `flush` or `write`.
+        written by `flush` or `write`. The response to a HEAD request goes without its body, whose length its
+        head may state nevertheless (RFC 9110, 9.3.2).
         """
         self.is_written = False
         data = self.http.send(head) or b""
-        if body:
+        if body and not self._is_head_request:
             data += self.http.send(h11.Data(data=body)) or b""
         self._unsent = memoryview(data + (self.http.send(h11.EndOfMessage()) or b""))
         return self.write()
@@ -194,7 +198,7 @@
         """Prepares for another message; returns False if the connection cannot carry any more."""
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
             self.http.start_next_cycle()
-            self.is_written = False
+            self.is_written = self._is_head_request = False
             return True
         return False
 
