Edge: requests behind one that is being answered stay unread until their turn

Cause: while a request is answered, a node read up to 16 KiB of later ones, in order to notice a disconnect. What was read behind a cut stream was dropped, and the connection closed as though nothing had come. Change: the watch for a disconnect asks the kernel (POLLRDHUP) and reads nothing; a connection whose response was cut is closed at once, so that unread bytes reset it: the client knows that its request wasn't read. Open: two requests that arrive in one read are both read.

--- a/tests/edge/test_edge_shutdown.py
+++ b/tests/edge/test_edge_shutdown.py
@@ -13,6 +13,7 @@
     STREAM_HEAD,
     ScriptedServer,
     chunk,
+    never_respond,
     read_all,
     request,
     respond,
@@ -122,6 +123,42 @@
         await edge.ended.wait()
 
 
+# Lost: a request that was read behind a stream which the end of the shutdown cut got no answer.
+@scenario
+async def test_a_request_behind_a_stream_that_the_shutdown_cuts_stays_unread():
+    server = ScriptedServer("i-1", stream_until(trio.Event()))
+    async with running(server) as edge:
+        await until(lambda: edge.node.is_ready)
+        client = await trio.open_tcp_stream("127.0.0.1", edge.port)
+        await client.send_all(request("/stream/1", close=False))
+        await read_until(client, b"data: a")
+        await client.send_all(request("/plain/2", close=False, identity="r2"))
+        (session,) = edge.role._clients._clients
+        await until(lambda: session.connection.has_unparsed_input)
+        os.kill(os.getpid(), signal.SIGTERM)
+        received = await read_all(client)
+        await edge.ended.wait()
+    # A reset: what the client had sent was not read, so that it may send it again.
+    assert received.endswith(b"<reset>") and len(server.requests) == 1
+
+
+@scenario
+async def test_a_disconnect_behind_a_waiting_request_is_noticed():
+    box = []
+    server = ScriptedServer("i-1", never_respond(box))
+    box.append(server)
+    async with running_edge(server) as edge:
+        client = await trio.open_tcp_stream("127.0.0.1", edge.port)
+        await client.send_all(request("/plain/1", close=False))
+        await server.arrived.wait()
+        await client.send_all(request("/plain/2", close=False, identity="r2"))
+        (session,) = edge.clients._clients
+        await until(lambda: session.connection.has_unparsed_input)
+        await client.aclose()
+        await server.cancelled.wait()
+        await until(lambda: edge.clients.busy_count == 0)
+
+
 @pytest.mark.parametrize(("timeout_ms", "expected"), [(60_000, 503), (500, 200)])
 def test_late_in_a_shutdown_a_request_is_admitted_only_if_it_ends_in_time(monkeypatch, timeout_ms, expected):
     monkeypatch.setattr(shutdown_module, "FULL_SERVICE_S", 0.0)
--- a/wheatroute/edge/client_session.py
+++ b/wheatroute/edge/client_session.py
@@ -66,6 +66,12 @@
         self._is_answering = True
         self.last_response = response
 
+    @property
+    def has_cut_response(self) -> bool:
+        """Whether the last response broke off, so that no response to a later request can follow it."""
+        response = self.last_response
+        return response is not None and response.has_begun and not response.is_complete
+
     # Closing in favour of others
 
     @property
--- a/wheatroute/edge/clients.py
+++ b/wheatroute/edge/clients.py
@@ -22,9 +22,7 @@
 from wheatroute.edge.request import ClientRequest
 from wheatroute.net.connection import MalformedError
 
-# While a request is being answered, at most about this many bytes of later requests are read.
-MAX_PIPELINED_BYTES = 16384
-PIPELINED_READ_BYTES = 4096
+DISCONNECT_CHECK_INTERVAL_S = 0.05  # time between two checks for a disconnect once later requests wait unread
 NEVER_CLOSED = (inf, inf)  # a closing cost above all others
 ROOM_CHECK_INTERVAL_S = 0.02  # pause in accepting while no connection can be closed for a new one
 ACCEPT_BACKOFF_S = 0.05  # pause in accepting while no file descriptors are left
@@ -137,7 +135,7 @@
         try:
             while await self._serve_request(client) and client.start_next_request():
                 pass
-            if self._node.is_stopping:
+            if self._node.is_stopping and not client.has_cut_response:
                 await client.linger()
         except (OSError, ClientDisconnectedError):
             pass
@@ -233,17 +231,12 @@
     ) -> None:
         """Cancels a request when its client disconnects.
 
-        Once the client has pipelined `MAX_PIPELINED_BYTES`, a disconnect is no longer detected.
+        A later request that arrives meanwhile is left unread: if the connection ends before its turn, the
+        reset tells the client that it was not read.
         """
         connection = client.connection
-        connection.receive_bytes = PIPELINED_READ_BYTES
-        try:
-            while len(connection.http.trailing_data[0]) < MAX_PIPELINED_BYTES:
-                if not await connection.receive():
-                    break
-            else:
-                return
-        except OSError:
-            pass
+        await trio.lowlevel.wait_readable(connection.sock)
+        while not connection.is_closed_by_peer():
+            await trio.sleep(DISCONNECT_CHECK_INTERVAL_S)
         response.is_client_disconnected = True
         scope.cancel()
--- a/wheatroute/edge/connection.py
+++ b/wheatroute/edge/connection.py
@@ -61,6 +61,16 @@
 
     __slots__ = ()
 
+    @property
+    def has_unparsed_input(self) -> bool:
+        """Whether bytes have arrived that belong to no parsed message, read or not."""
+        if self.http.trailing_data[0]:
+            return True
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     @property
     def has_unanswered_input(self) -> bool:
         """Whether bytes have arrived after the last parsed message, or the peer has closed its side."""
