--- a/tests/soak/simulated_fleet.py
+++ b/tests/soak/simulated_fleet.py
@@ -126,6 +126,8 @@
     def __init__(self, fleet, number):
         self.fleet, self.name = fleet, f"edge-{number}"
         self.scope = None
+        self.node = None  # of the process that runs now
+        self.started_at = inf
 
     async def run(self):
         """Runs one incarnation of the process, until it is killed."""
@@ -140,6 +142,7 @@
             bounds=BOUNDS,
         )
         node = EdgeNode(settings, LOG)
+        self.node, self.started_at = node, trio.current_time()
         node.rng = Random(fleet.rng.random())
         node.selector.load.local = lambda: {"s": ServerLoad(100, 1)}
         control = ControlClient(node)
@@ -154,6 +157,7 @@
     def kill(self):
         if self.scope is not None:
             self.scope.cancel()
+        self.node = None
 
     async def _run_clients(self, tenant, node, admission, nursery):
         rng = Random(self.fleet.rng.random())
