Registry: the DELETE of a server that was removed for its silence is shared as its departure

Callers saw nothing yet; found by reading the change once more: the DELETE of a server that was already removed for its silence changed no version of the registry, so that it was acknowledged without being shared, and a late heartbeat at the next primary could bring the server back. Change: it counts as a change, once; a DELETE that is sent again changes nothing. Measured: test_a_server_that_deregisters_after_its_silence_stays_removed now asks for it; that check fails on the text before.

--- a/tests/control/test_server_registry.py
+++ b/tests/control/test_server_registry.py
@@ -194,7 +194,10 @@
     servers = registry()
     servers.heartbeat(0.0, "a", heartbeat(1))
     run(servers, 9.0)
-    servers.remove(9.0, "a")
+    known = servers.version
+    # The departure is a change of the registry, so that it is shared before it is acknowledged.
+    assert servers.remove(9.0, "a") and servers.version > known
+    assert not servers.remove(9.1, "a") and list(servers.departure_ages(9.1)) == ["a"]
     assert not servers.heartbeat(9.1, "a", heartbeat(2)) and states(servers) == {"a": "gone"}
 
 
--- a/wheatroute/control/registry.py
+++ b/wheatroute/control/registry.py
@@ -231,10 +231,11 @@
             raise RegistryFullError("there is no memory for more servers")
 
     def remove(self, now: float, identity: str) -> bool:
-        """Removes a server that deregisters; returns False if it had been removed before.
+        """Removes a server that deregisters; returns False if its departure was known before.
 
-        An unknown server is recorded as removed, so that a late heartbeat doesn't register it; raises
-        RegistryFullError if there is no room for that.
+        The departure of one that was removed for its silence is news as well: the other control nodes must
+        know that it is final. An unknown server is recorded as removed, so that a late heartbeat doesn't
+        register it; raises RegistryFullError if there is no room for that.
         """
         entry = self._entries.get(identity)
         if entry is None:
@@ -243,8 +244,12 @@
             self._add_departure(now, removed)
             self._record_event(None, removed, InstanceCause.DEREGISTERED)
             return True
+        if entry.has_departed and entry.instance.state == InstanceState.REMOVED:
+            return False
         entry.has_departed = True
-        return self._set_state(entry, InstanceState.REMOVED, now, InstanceCause.DEREGISTERED)
+        if not self._set_state(entry, InstanceState.REMOVED, now, InstanceCause.DEREGISTERED):
+            entry.instance = self._with_new_version(entry.instance)
+        return True
 
     def last_heartbeat(self, identity: str) -> float | None:
         """The time of a ready server's last heartbeat; None for any other server."""
